--- /dev/null
+++ b/class/doc.go
@@ -0,0 +1,2 @@
+// Package class reads, checks and matches the classes of work that operators write.
+package class
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,268 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/block"
+	"lovageyard.example/lovageyard/class"
+	"lovageyard.example/lovageyard/configuration"
+	"lovageyard.example/lovageyard/instance"
+	"lovageyard.example/lovageyard/lease"
+	"lovageyard.example/lovageyard/peer/wire"
+	"lovageyard.example/lovageyard/placement"
+	"lovageyard.example/lovageyard/route"
+	"lovageyard.example/lovageyard/server"
+)
+
+// Periods of the control loop.
+const (
+	tickEvery   = 500 * time.Millisecond
+	pollEvery   = 500 * time.Millisecond
+	listEvery   = time.Second
+	blocksEvery = 10 * time.Second
+	planEvery   = time.Second
+	reportEvery = time.Second
+	probeEvery  = 2 * time.Second
+	// adoptPatience is how long an instance waits for a peer to tell what is applied.
+	adoptPatience = 3 * time.Second
+	// staleAfter is the time without word from a relay after which an instance reads the platform itself.
+	staleAfter = 4 * time.Second
+	inboxSize  = 256
+)
+
+// Peers reaches other entry instances.
+type Peers interface {
+	Exchange(ctx context.Context, address string, r *wire.ExchangeRequest) (*wire.ExchangeReply, error)
+	Report(ctx context.Context, address string, r *wire.DemandReport) error
+}
+
+// Settings are what a Control is made of.
+type Settings struct {
+	Self      lovageyard.EntryInstance
+	Table     lovageyard.Table
+	Objects   lovageyard.ObjectStore
+	Instances lovageyard.InstanceList
+	Backend   lovageyard.Backend
+	Peers     Peers
+	Timer     lovageyard.Timer
+	Recorder  lovageyard.Recorder
+	Logger    *logrus.Logger
+	Metrics   metrics.Registry
+	// SeedPeers are addresses of peers to ask when the platform can't be reached.
+	SeedPeers []string
+	KeepFor   time.Duration
+	Headroom  float64
+	Pool      server.Settings
+	Latencies placement.Latencies
+	LeaseSpan time.Duration
+	Seed      uint64
+}
+
+// Control runs the control loop of one entry instance.
+type Control struct {
+	settings Settings
+	inbox    chan message
+	snapshot atomic.Pointer[route.Snapshot]
+	cancel   context.CancelFunc
+	context  context.Context
+	loop     sync.WaitGroup
+	calls    sync.WaitGroup
+
+	// All below belongs to the loop's goroutine.
+	self      instance.Member
+	members   *instance.Table
+	config    *configuration.State
+	blocks    *block.Table
+	blocksVer int64
+	listing   lovageyard.Listing
+	listedAt  time.Time
+	heardAt   time.Time
+	index     *class.Index
+	works     map[string]*work
+	pools     map[poolKey]*pool
+	marks     map[poolServer]lovageyard.InstanceState
+	reports   map[string]*report
+	lease     *lease.Lease
+	leader    lease.Record
+	busy      map[string]bool
+	due       map[string]time.Time
+	random    *rand.Rand
+	dirty     bool
+}
+
+// message is a typed message to the loop.
+type message interface {
+	apply(c *Control)
+}
+
+// New returns a Control that Start sets going.
+func New(s Settings) *Control {
+	now := s.Timer.Now()
+	self := instance.Member{EntryInstance: s.Self}
+	self.State = lovageyard.StateLive
+	blocks, _ := block.NewTable(nil)
+	holder := leaseHolder(s.Self)
+	c := &Control{
+		settings: s,
+		inbox:    make(chan message, inboxSize),
+		self:     self,
+		members:  instance.NewTable(self, now),
+		config:   configuration.NewState(),
+		blocks:   blocks,
+		index:    class.NewIndex(nil),
+		works:    make(map[string]*work),
+		pools:    make(map[poolKey]*pool),
+		marks:    make(map[poolServer]lovageyard.InstanceState),
+		reports:  make(map[string]*report),
+		lease:    lease.New(s.Table, plannerKey, holder, s.Self.PeerAddress, s.LeaseSpan),
+		busy:     make(map[string]bool),
+		due:      make(map[string]time.Time),
+		random:   rand.New(rand.NewPCG(s.Seed, s.Seed)),
+	}
+	c.context, c.cancel = context.WithCancel(context.Background())
+	c.publish()
+	return c
+}
+
+// Start sets the loop going.
+func (c *Control) Start() {
+	ticks := c.settings.Timer.Subscribe(tickEvery)
+	c.loop.Go(func() { c.run(ticks) })
+}
+
+// Close ends the loop and waits for it and for all calls that it began.
+func (c *Control) Close() {
+	c.cancel()
+	c.loop.Wait()
+	c.calls.Wait()
+}
+
+// Snapshot returns the snapshot in force.
+func (c *Control) Snapshot() *route.Snapshot {
+	return c.snapshot.Load()
+}
+
+func (c *Control) run(ticks lovageyard.Ticks) {
+	defer ticks.Close()
+	c.tick(c.settings.Timer.Now())
+	for {
+		select {
+		case now := <-ticks.C():
+			c.tick(now)
+		case m := <-c.inbox:
+			m.apply(c)
+		case <-c.context.Done():
+			return
+		}
+		if c.dirty {
+			c.publish()
+		}
+	}
+}
+
+// post hands a message to the loop; it returns false once the loop has ended.
+func (c *Control) post(m message) bool {
+	select {
+	case c.inbox <- m:
+		return true
+	case <-c.context.Done():
+		return false
+	}
+}
+
+// call runs f outside the loop and posts its result; one call of a name runs at a time.
+func (c *Control) call(name string, f func(ctx context.Context) message) {
+	if c.busy[name] {
+		return
+	}
+	c.busy[name] = true
+	c.calls.Go(func() {
+		result := f(c.context)
+		c.post(finished{name: name, result: result})
+	})
+}
+
+// finished is the end of a call.
+type finished struct {
+	name   string
+	result message
+}
+
+func (m finished) apply(c *Control) {
+	delete(c.busy, m.name)
+	if m.result != nil {
+		m.result.apply(c)
+	}
+}
+
+// every says whether an action of a name is due, and sets when it is due next.
+func (c *Control) every(name string, period time.Duration, now time.Time) bool {
+	if now.Before(c.due[name]) {
+		return false
+	}
+	c.due[name] = now.Add(period)
+	return true
+}
+
+func (c *Control) tick(now time.Time) {
+	c.self.Heartbeat++
+	c.self.Version = c.config.Version()
+	c.self.Steps = c.steps()
+	c.members.Hear(c.self, now)
+	if c.members.Tick(now) {
+		c.dirty = true
+	}
+	c.setSharers()
+	c.readPlatform(now)
+	c.exchange(now)
+	c.measure(now)
+	c.stepWorks(now)
+	c.expirePools(now)
+	if c.every("probe", probeEvery, now) {
+		c.probe(now)
+	}
+	if c.every("report", reportEvery, now) {
+		c.sendReport(now)
+	}
+	if c.isRelay() && c.every("plan", planEvery, now) {
+		c.plan(now)
+	}
+}
+
+// isRelay says whether this instance reads the platform for its failure domain.
+func (c *Control) isRelay() bool {
+	for _, name := range c.relays() {
+		if name == c.self.Name {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Control) relays() []string {
+	return instance.ChooseRelays(c.members.Live(), c.self.FailureDomain)
+}
+
+// Leave makes the instance leave look-ups; it goes on serving.
+func (c *Control) Leave() {
+	c.post(leave{})
+}
+
+type leave struct{}
+
+func (leave) apply(c *Control) {
+	c.self.State = lovageyard.StateLeaving
+	c.self.Heartbeat++
+	now := c.settings.Timer.Now()
+	c.members.Hear(c.self, now)
+	c.dirty = true
+	c.exchangeAll(now)
+}
--- /dev/null
+++ b/control/pools.go
@@ -0,0 +1,212 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/grant"
+	"lovageyard.example/lovageyard/instance"
+	"lovageyard.example/lovageyard/server"
+)
+
+// markFor is how long a mark on a server is passed on to peers.
+const markFor = time.Minute
+
+type poolKey struct {
+	service string
+	site    string
+}
+
+// poolServer names one backend server of a pool.
+type poolServer struct {
+	poolKey
+	server string
+}
+
+// pool is one service at one site.
+type pool struct {
+	*server.Pool
+	failureDomain string
+	region        string
+	servers       []lovageyard.BackendServer
+	allowance     *grant.Allowance
+	answers       uint64
+	measured      time.Time
+	rate          float64
+}
+
+// setListing takes in the platform's list. A server that is on no list any more takes
+// no new work; an empty list of servers is taken for a fault and changes nothing.
+func (c *Control) setListing(l lovageyard.Listing, readAt time.Time) {
+	now := c.settings.Timer.Now()
+	c.members.List(l.EntryInstances, now)
+	c.listedAt = readAt
+	c.dirty = true
+	if len(l.BackendServers) == 0 {
+		return
+	}
+	c.listing = l
+	byPool := make(map[poolKey][]lovageyard.BackendServer)
+	for _, b := range l.BackendServers {
+		k := poolKey{service: b.Service, site: b.Site}
+		byPool[k] = append(byPool[k], b)
+	}
+	for k, servers := range byPool {
+		c.setPool(k, servers, now)
+	}
+	for k, p := range c.pools {
+		if _, found := byPool[k]; !found {
+			p.servers = nil
+			p.SetServers(nil)
+		}
+	}
+}
+
+func (c *Control) setPool(k poolKey, servers []lovageyard.BackendServer, now time.Time) {
+	p := c.pools[k]
+	if p == nil {
+		p = &pool{
+			Pool:      server.NewPool(c.settings.Pool, c.random.Uint64()),
+			allowance: grant.NewAllowance(0, now),
+		}
+		c.pools[k] = p
+	}
+	p.failureDomain = servers[0].FailureDomain
+	p.region = servers[0].Region
+	p.servers = servers
+	p.SetServers(servers)
+	for _, b := range servers {
+		mark, found := c.marks[poolServer{poolKey: k, server: b.Name}]
+		if found {
+			p.Mark(b.Name, mark)
+		}
+	}
+}
+
+// setSharers tells the pools how many entry instances share their servers.
+func (c *Control) setSharers() {
+	live := c.members.Live()
+	for _, p := range c.pools {
+		sharers := 0
+		for _, m := range live {
+			if m.FailureDomain == p.failureDomain {
+				sharers++
+			}
+		}
+		if p.failureDomain != c.self.FailureDomain {
+			sharers++
+		}
+		p.SetSharers(sharers)
+	}
+}
+
+func (c *Control) expirePools(now time.Time) {
+	for _, p := range c.pools {
+		p.Expire(now)
+	}
+}
+
+// ServerLeaving notes that a backend server said that it is leaving.
+func (c *Control) ServerLeaving(service, site, name string) {
+	c.post(serverMarked{
+		poolServer: poolServer{poolKey: poolKey{service: service, site: site}, server: name},
+		state:      lovageyard.StateLeaving,
+	})
+}
+
+type serverMarked struct {
+	poolServer
+	state lovageyard.InstanceState
+}
+
+func (m serverMarked) apply(c *Control) {
+	if c.marks[m.poolServer] == m.state {
+		return
+	}
+	c.marks[m.poolServer] = m.state
+	if p := c.pools[m.poolKey]; p != nil {
+		p.Mark(m.server, m.state)
+	}
+	c.settings.Recorder.Record(lovageyard.Decision{
+		Kind:   "server",
+		Site:   m.site,
+		Server: m.server,
+		Reason: string(m.state),
+	})
+	c.exchangeAll(c.settings.Timer.Now())
+}
+
+// probe asks the suspect and the leaving servers of the own failure domain how they are.
+// Suspects elsewhere are probed too, by relays only.
+func (c *Control) probe(now time.Time) {
+	relay := c.isRelay()
+	for k, p := range c.pools {
+		if p.failureDomain != c.self.FailureDomain && !relay {
+			continue
+		}
+		census := p.Census(now)
+		for _, b := range slices.Concat(census.Suspects, census.Leaving) {
+			if b.State == lovageyard.StateLive {
+				c.probeServer(k, b)
+			}
+		}
+	}
+}
+
+func (c *Control) probeServer(k poolKey, b lovageyard.BackendServer) {
+	c.call("probe "+b.Name, func(ctx context.Context) message {
+		report, err := c.settings.Backend.Probe(ctx, b)
+		return probed{poolServer: poolServer{poolKey: k, server: b.Name}, report: report, err: err}
+	})
+}
+
+type probed struct {
+	poolServer
+	report lovageyard.LoadReport
+	err    error
+}
+
+func (m probed) apply(c *Control) {
+	if m.err != nil {
+		return
+	}
+	if p := c.pools[m.poolKey]; p != nil {
+		p.Heard(m.server, m.report, c.settings.Timer.Now())
+	}
+	if !m.report.Leaving && c.marks[m.poolServer] == lovageyard.StateLeaving {
+		serverMarked{poolServer: m.poolServer, state: lovageyard.StateLive}.apply(c)
+	}
+}
+
+// sortedPools returns the keys of the pools in a fixed order.
+func (c *Control) sortedPools() []poolKey {
+	keys := make([]poolKey, 0, len(c.pools))
+	for k := range c.pools {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b poolKey) int {
+		if n := strings.Compare(a.service, b.service); n != 0 {
+			return n
+		}
+		return strings.Compare(a.site, b.site)
+	})
+	return keys
+}
+
+// regionOf returns the region of a failure domain, or "".
+func (c *Control) regionOf(failureDomain string, members []instance.Member) string {
+	for _, m := range members {
+		if m.FailureDomain == failureDomain {
+			return m.Region
+		}
+	}
+	for _, p := range c.pools {
+		if p.failureDomain == failureDomain {
+			return p.region
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/control/publish.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"encoding/json"
+	"slices"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/instance"
+	"lovageyard.example/lovageyard/route"
+)
+
+// grantsKey is the key of the row of grants.
+const grantsKey = "grants"
+
+func (c *Control) counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, c.settings.Metrics)
+}
+
+// publish builds the snapshot anew and puts it in force.
+func (c *Control) publish() {
+	c.dirty = false
+	s := &route.Snapshot{
+		Version:   c.config.Version(),
+		Home:      c.self.FailureDomain,
+		KeepFor:   c.settings.KeepFor,
+		Leaving:   c.self.State != lovageyard.StateLive,
+		Classes:   c.index,
+		Blocks:    c.blocks,
+		Directory: instance.NewDirectory(c.members.Live()),
+	}
+	for _, k := range c.index.All() {
+		w := c.works[k.Name]
+		if w == nil {
+			continue
+		}
+		s.Works = append(s.Works, c.routeWork(w))
+	}
+	c.snapshot.Store(s)
+}
+
+func (c *Control) routeWork(w *work) route.Work {
+	r := route.Work{
+		Class:  w.class,
+		Step:   w.plan.Step,
+		Gate:   w.stepper.Gate(),
+		Forced: w.forced,
+		Budget: w.budget,
+		Counts: w.counts,
+	}
+	if w.stepper.Adopted() {
+		r.Homes = w.stepper.Applied().Homes
+	}
+	for _, k := range c.sortedPools() {
+		if k.service != w.class.Service {
+			continue
+		}
+		p := c.pools[k]
+		r.Sites = append(r.Sites, route.Site{
+			Name:      k.site,
+			Pool:      p.Pool,
+			Allowance: p.allowance,
+			Local:     p.failureDomain == c.self.FailureDomain,
+		})
+	}
+	slices.SortStableFunc(r.Sites, func(a, b route.Site) int {
+		return c.distance(keyOf(w, a)) - c.distance(keyOf(w, b))
+	})
+	return r
+}
+
+func keyOf(w *work, s route.Site) poolKey {
+	return poolKey{service: w.class.Service, site: s.Name}
+}
+
+// distance ranks a pool: 0 in the own failure domain, 1 in the own region, else 2.
+func (c *Control) distance(k poolKey) int {
+	p := c.pools[k]
+	switch {
+	case p.failureDomain == c.self.FailureDomain:
+		return 0
+	case p.region == c.self.Region:
+		return 1
+	}
+	return 2
+}
+
+func (c *Control) grants() lovageyard.GrantPlan {
+	var p lovageyard.GrantPlan
+	row, found := c.config.Row(lovageyard.TableGrants, grantsKey)
+	if found {
+		_ = json.Unmarshal(row.Value, &p)
+	}
+	return p
+}
--- /dev/null
+++ b/control/report.go
@@ -0,0 +1,211 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/peer/wire"
+)
+
+// Rules for reports of demand.
+const (
+	// reportFor is the age up to which a report counts.
+	reportFor = 10 * time.Second
+	// reportForget is the age at which a report is dropped.
+	reportForget = time.Minute
+)
+
+// report is the newest report of one instance or relay.
+type report struct {
+	at     time.Time
+	report *wire.DemandReport
+}
+
+// sendReport sends this instance's measured demand to the relay of its failure domain,
+// or, as the relay, the demand of the whole failure domain to the planner.
+func (c *Control) sendReport(now time.Time) {
+	own := c.ownReport(now)
+	relays := c.relays()
+	if len(relays) > 0 && relays[0] != c.self.Name {
+		c.report("report relay", c.peerAddress(relays[0]), own)
+		return
+	}
+	c.keepReport(own, now)
+	merged := c.mergeReports(now)
+	c.keepReport(merged, now)
+	if c.leader.Holder != leaseHolder(c.settings.Self) {
+		c.report("report planner", c.leader.Address, merged)
+	}
+}
+
+func (c *Control) report(name, address string, r *wire.DemandReport) {
+	if address == "" {
+		return
+	}
+	c.call(name, func(ctx context.Context) message {
+		if err := c.settings.Peers.Report(ctx, address, r); err != nil {
+			c.settings.Logger.WithError(err).Debug("report failed")
+		}
+		return nil
+	})
+}
+
+func (c *Control) peerAddress(name string) string {
+	for _, m := range c.members.Known() {
+		if m.Name == name {
+			return m.PeerAddress
+		}
+	}
+	return ""
+}
+
+func (c *Control) ownReport(now time.Time) *wire.DemandReport {
+	r := &wire.DemandReport{FailureDomain: c.self.FailureDomain, Reporter: c.self.Name}
+	for _, k := range c.index.All() {
+		if w := c.works[k.Name]; w != nil {
+			r.Classes = append(r.Classes, w.report())
+		}
+	}
+	for _, k := range c.sortedPools() {
+		r.Sites = append(r.Sites, c.pools[k].report(k, now))
+	}
+	return r
+}
+
+func (w *work) report() *wire.ClassDemand {
+	d := &wire.ClassDemand{Class: w.class.Name}
+	for _, r := range w.rates {
+		home := &wire.HomeDemand{FailureDomain: r.failureDomain}
+		busy := false
+		for _, rate := range r.rates {
+			home.Buckets = append(home.Buckets, float32(rate))
+			busy = busy || rate > 0
+		}
+		if busy {
+			d.Homes = append(d.Homes, home)
+		}
+	}
+	return d
+}
+
+// report tells what this instance knows of a pool.
+func (p *pool) report(k poolKey, now time.Time) *wire.SiteReport {
+	census := p.Census(now)
+	passed := now.Sub(p.measured).Seconds()
+	if passed > 0 {
+		p.rate = float64(census.Answers-p.answers) / passed
+	}
+	p.answers = census.Answers
+	p.measured = now
+	return &wire.SiteReport{
+		Service:     k.service,
+		Site:        k.site,
+		Load:        p.rate,
+		Alive:       census.Takers > 0,
+		MeanSeconds: census.Service.Seconds(),
+	}
+}
+
+// mergeReports returns the sum of the reports of this failure domain.
+func (c *Control) mergeReports(now time.Time) *wire.DemandReport {
+	merged := &wire.DemandReport{FailureDomain: c.self.FailureDomain, Reporter: c.self.Name + "/merged", Merged: true}
+	classes := make(map[string]*demandSum)
+	var order []string
+	sites := make(map[poolKey]*wire.SiteReport)
+	for name, r := range c.reports {
+		if now.Sub(r.at) > reportForget {
+			delete(c.reports, name)
+		}
+		if r.report.GetMerged() || now.Sub(r.at) > reportFor {
+			continue
+		}
+		for _, d := range r.report.GetClasses() {
+			if classes[d.GetClass()] == nil {
+				classes[d.GetClass()] = newDemandSum()
+				order = append(order, d.GetClass())
+			}
+			classes[d.GetClass()].add(d)
+		}
+		for _, s := range r.report.GetSites() {
+			mergeSite(sites, s)
+		}
+	}
+	for _, name := range order {
+		merged.Classes = append(merged.Classes, classes[name].wire(name))
+	}
+	for _, k := range c.sortedPools() {
+		if s := sites[k]; s != nil {
+			merged.Sites = append(merged.Sites, s)
+		}
+	}
+	return merged
+}
+
+func mergeSite(sites map[poolKey]*wire.SiteReport, s *wire.SiteReport) {
+	k := poolKey{service: s.GetService(), site: s.GetSite()}
+	sum := sites[k]
+	if sum == nil {
+		sum = &wire.SiteReport{Service: s.GetService(), Site: s.GetSite()}
+		sites[k] = sum
+	}
+	sum.Load += s.GetLoad()
+	sum.Alive = sum.Alive || s.GetAlive()
+	sum.MeanSeconds = max(sum.GetMeanSeconds(), s.GetMeanSeconds())
+}
+
+// demandSum adds up the demand of one class.
+type demandSum struct {
+	homes map[string]*[lovageyard.Buckets]float64
+}
+
+func newDemandSum() *demandSum {
+	return &demandSum{homes: make(map[string]*[lovageyard.Buckets]float64)}
+}
+
+func (s *demandSum) add(d *wire.ClassDemand) {
+	for _, h := range d.GetHomes() {
+		buckets := s.homes[h.GetFailureDomain()]
+		if buckets == nil {
+			buckets = new([lovageyard.Buckets]float64)
+			s.homes[h.GetFailureDomain()] = buckets
+		}
+		for b, rate := range h.GetBuckets() {
+			if b < len(buckets) {
+				buckets[b] += float64(rate)
+			}
+		}
+	}
+}
+
+func (s *demandSum) wire(class string) *wire.ClassDemand {
+	d := &wire.ClassDemand{Class: class}
+	for name, buckets := range s.homes {
+		home := &wire.HomeDemand{FailureDomain: name}
+		for _, rate := range buckets {
+			home.Buckets = append(home.Buckets, float32(rate))
+		}
+		d.Homes = append(d.Homes, home)
+	}
+	return d
+}
+
+// Report takes in a report of a peer.
+func (c *Control) Report(_ context.Context, r *wire.DemandReport) (*wire.ReportReply, error) {
+	if !c.post(reported{report: r}) {
+		return nil, context.Canceled
+	}
+	return &wire.ReportReply{}, nil
+}
+
+type reported struct {
+	report *wire.DemandReport
+}
+
+func (m reported) apply(c *Control) {
+	c.keepReport(m.report, c.settings.Timer.Now())
+}
+
+func (c *Control) keepReport(r *wire.DemandReport, now time.Time) {
+	c.reports[r.GetReporter()] = &report{at: now, report: r}
+}
--- /dev/null
+++ b/control/works.go
@@ -0,0 +1,214 @@
+package control
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/grant"
+	"lovageyard.example/lovageyard/instance"
+	"lovageyard.example/lovageyard/move"
+	"lovageyard.example/lovageyard/route"
+	"lovageyard.example/lovageyard/server"
+)
+
+// demandTime is the time constant of the measured demand.
+const demandTime = 5 * time.Second
+
+// work is the control state of one class.
+type work struct {
+	class     lovageyard.Class
+	plan      lovageyard.ClassPlan
+	planSeen  time.Time
+	stepper   *move.Stepper
+	forced    *move.Gate
+	budget    *server.Budget
+	counts    []*route.HomeCount
+	rates     []*homeRate
+	measured  time.Time
+	neighbour bool
+}
+
+// homeRate is the measured demand of one home failure domain, in requests a second.
+type homeRate struct {
+	failureDomain string
+	last          [lovageyard.Buckets]uint64
+	rates         [lovageyard.Buckets]float64
+}
+
+// setWorks takes in the classes and plans in force.
+func (c *Control) setWorks() {
+	now := c.settings.Timer.Now()
+	classes := c.config.Classes()
+	for _, k := range classes {
+		c.setWork(k)
+	}
+	for name := range c.works {
+		if c.index.Named(name) == nil {
+			delete(c.works, name)
+		}
+	}
+	for _, p := range c.config.Plans() {
+		w := c.works[p.Class]
+		if w == nil {
+			continue
+		}
+		if w.planSeen.IsZero() {
+			w.planSeen = now
+		}
+		w.plan = p
+		w.stepper.SetPlan(p)
+		w.addHomes(p)
+	}
+	c.setGrants(now)
+}
+
+func (c *Control) setWork(k lovageyard.Class) {
+	w := c.works[k.Name]
+	if w == nil {
+		w = &work{
+			stepper:  move.NewStepper(k.Target),
+			budget:   server.NewBudget(),
+			measured: c.settings.Timer.Now(),
+		}
+		w.addHome(c.self.FailureDomain)
+		c.works[k.Name] = w
+	}
+	w.class = k
+	w.stepper.SetTarget(k.Target)
+	extra := k.Target.EffectiveFailoverCap() - k.Target.Cap
+	switch {
+	case extra <= 0:
+		w.forced = w.stepper.Gate()
+	case w.forced == nil || w.forced == w.stepper.Gate():
+		w.forced = move.NewGate(extra, 0)
+	}
+}
+
+func (w *work) addHomes(p lovageyard.ClassPlan) {
+	for _, h := range p.Homes {
+		w.addHome(h.FailureDomain)
+	}
+}
+
+func (w *work) addHome(failureDomain string) {
+	known := slices.ContainsFunc(w.counts, func(c *route.HomeCount) bool {
+		return c.FailureDomain == failureDomain
+	})
+	if known {
+		return
+	}
+	w.counts = append(slices.Clone(w.counts), &route.HomeCount{FailureDomain: failureDomain})
+	w.rates = append(w.rates, &homeRate{failureDomain: failureDomain})
+}
+
+func (c *Control) setGrants(now time.Time) {
+	grants := c.grants()
+	for k, p := range c.pools {
+		p.allowance.SetRate(grant.Rate(grants, c.self.Name, k.service, k.site), now)
+	}
+}
+
+// measure brings the measured demand of all classes up to date.
+func (c *Control) measure(now time.Time) {
+	for _, w := range c.works {
+		w.measure(now)
+	}
+}
+
+func (w *work) measure(now time.Time) {
+	passed := now.Sub(w.measured)
+	if passed <= 0 {
+		return
+	}
+	w.measured = now
+	weight := 1 - math.Exp(-passed.Seconds()/demandTime.Seconds())
+	for i, r := range w.rates {
+		for b := range r.rates {
+			count := w.counts[i].Buckets[b].Load()
+			rate := float64(count-r.last[b]) / passed.Seconds()
+			r.last[b] = count
+			r.rates[b] += weight * (rate - r.rates[b])
+		}
+	}
+}
+
+// demand returns the demand of one interval of the class.
+func (w *work) demand() move.Demand {
+	var d move.Demand
+	seconds := w.class.Target.Interval.Std().Seconds()
+	for _, r := range w.rates {
+		home := move.HomeDemand{FailureDomain: r.failureDomain, Buckets: make([]float64, lovageyard.Buckets)}
+		for b, rate := range r.rates {
+			home.Buckets[b] = rate * seconds
+			d.Total += home.Buckets[b]
+		}
+		d.Homes = append(d.Homes, home)
+	}
+	return d
+}
+
+// stepWorks lets each class take its next step, if one is due.
+func (c *Control) stepWorks(now time.Time) {
+	neighbours := c.members.Neighbours()
+	for name, w := range c.works {
+		if w.plan.Step == 0 {
+			continue
+		}
+		c.adopt(w, neighbours, now)
+		d := w.demand()
+		if w.forced != w.stepper.Gate() {
+			w.forced.Set(w.class.Target.EffectiveFailoverCap()-w.class.Target.Cap, d.Total)
+		}
+		if w.stepper.Tick(now, d, c.level(name, w.begun(), neighbours)) {
+			c.dirty = true
+		}
+	}
+}
+
+// adopt gives a class its first placement when no neighbour can tell what is applied.
+func (c *Control) adopt(w *work, neighbours []instance.Member, now time.Time) {
+	if w.stepper.Adopted() {
+		return
+	}
+	alone := len(neighbours) == 0 && now.Sub(w.planSeen) >= adoptPatience/3
+	if w.plan.Step == 1 || alone || now.Sub(w.planSeen) >= adoptPatience {
+		w.stepper.Adopt(move.FromPlan(w.plan), now)
+		c.dirty = true
+	}
+}
+
+// begun returns the plan step that the class moves to, or 0 before the first placement.
+func (w *work) begun() int64 {
+	if !w.stepper.Adopted() {
+		return 0
+	}
+	return w.plan.Step
+}
+
+// level says whether all neighbours have begun a plan step.
+func (c *Control) level(class string, step int64, neighbours []instance.Member) bool {
+	for _, m := range neighbours {
+		for _, s := range m.Steps {
+			if s.Class == class && s.Begun > 0 && s.Begun < step {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// steps returns how far this instance is with each class's plan.
+func (c *Control) steps() []instance.Step {
+	var steps []instance.Step
+	for _, k := range c.index.All() {
+		w := c.works[k.Name]
+		if w == nil || w.plan.Step == 0 {
+			continue
+		}
+		settled, _ := w.stepper.Settled(w.demand())
+		steps = append(steps, instance.Step{Class: k.Name, Begun: w.begun(), Settled: settled})
+	}
+	return steps
+}
--- /dev/null
+++ b/decision/doc.go
@@ -0,0 +1,2 @@
+// Package decision records routing and placement decisions as structured log lines.
+package decision
--- /dev/null
+++ b/grant/allowance.go
@@ -0,0 +1,54 @@
+package grant
+
+import (
+	"sync"
+	"time"
+)
+
+// burstTime is the span whose grant an Allowance may spend at once.
+const burstTime = 250 * time.Millisecond
+
+// Allowance spends one grant as time passes.
+type Allowance struct {
+	mu     sync.Mutex
+	rate   float64
+	tokens float64
+	at     time.Time
+}
+
+// NewAllowance returns an allowance of a rate in requests a second, with nothing saved up.
+func NewAllowance(rate float64, now time.Time) *Allowance {
+	return &Allowance{rate: rate, at: now}
+}
+
+// SetRate changes the rate.
+func (a *Allowance) SetRate(rate float64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refill(now)
+	a.rate = rate
+}
+
+// Take says whether the grant allows one more request now.
+func (a *Allowance) Take(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refill(now)
+	if a.tokens < 1 {
+		return false
+	}
+	a.tokens--
+	return true
+}
+
+func (a *Allowance) refill(now time.Time) {
+	passed := now.Sub(a.at)
+	if passed <= 0 {
+		return
+	}
+	a.at = now
+	a.tokens = min(a.tokens+a.rate*passed.Seconds(), max(1, a.rate*burstTime.Seconds()))
+	if a.rate <= 0 {
+		a.tokens = 0
+	}
+}
--- /dev/null
+++ b/instance/rank.go
@@ -0,0 +1,177 @@
+package instance
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovageyard.example/lovageyard"
+)
+
+// Sizes of a look-up's answer.
+const (
+	ownRanks   = 2
+	otherRanks = 2
+	// MaxRanks is the largest number of instances in an answer.
+	MaxRanks = ownRanks + otherRanks
+)
+
+// Relays is the number of instances of a failure domain that read the platform for the rest.
+const Relays = 2
+
+// Directory ranks entry instances for look-ups; it is immutable.
+type Directory struct {
+	domains []domain
+	all     []int
+	members []lovageyard.EntryInstance
+	hashes  []uint64
+}
+
+type domain struct {
+	name      string
+	region    string
+	positions []int
+}
+
+// Ranking is the answer to one look-up: positions in the directory, best first.
+type Ranking struct {
+	Positions [MaxRanks]int
+	Count     int
+}
+
+// NewDirectory returns the directory of the live instances.
+func NewDirectory(live []Member) *Directory {
+	d := &Directory{}
+	for i, m := range live {
+		d.members = append(d.members, m.EntryInstance)
+		d.hashes = append(d.hashes, xxhash.Sum64String(m.Name))
+		d.all = append(d.all, i)
+		d.add(i, m)
+	}
+	slices.SortFunc(d.domains, func(a, b domain) int {
+		return strings.Compare(a.name, b.name)
+	})
+	return d
+}
+
+func (d *Directory) add(position int, m Member) {
+	for i := range d.domains {
+		if d.domains[i].name == m.FailureDomain {
+			d.domains[i].positions = append(d.domains[i].positions, position)
+			return
+		}
+	}
+	d.domains = append(d.domains, domain{name: m.FailureDomain, region: m.Region, positions: []int{position}})
+}
+
+// Instance returns the instance at a position.
+func (d *Directory) Instance(position int) *lovageyard.EntryInstance {
+	return &d.members[position]
+}
+
+// Len returns the number of instances.
+func (d *Directory) Len() int {
+	return len(d.members)
+}
+
+// Rank returns the instances for a block of a home failure domain: first those of the
+// home, then one each of other failure domains, those of the same region first.
+// It allocates nothing.
+func (d *Directory) Rank(home string, block uint64) Ranking {
+	var r Ranking
+	index, found := slices.BinarySearchFunc(d.domains, home, func(a domain, name string) int {
+		return strings.Compare(a.name, name)
+	})
+	if !found {
+		d.best(&r, d.all, block, MaxRanks)
+		return r
+	}
+	own := &d.domains[index]
+	d.best(&r, own.positions, block, ownRanks)
+	d.others(&r, index, own.region, block, true)
+	d.others(&r, index, own.region, block, false)
+	return r
+}
+
+// others adds the best instance of each further failure domain, inside or outside a region.
+func (d *Directory) others(r *Ranking, own int, region string, block uint64, inside bool) {
+	start := int(block % uint64(len(d.domains)))
+	for i := range d.domains {
+		if r.Count >= MaxRanks {
+			return
+		}
+		index := (start + i) % len(d.domains)
+		if index == own || (d.domains[index].region == region) != inside {
+			continue
+		}
+		d.best(r, d.domains[index].positions, block, r.Count+1)
+	}
+}
+
+// best adds the highest-scoring positions until the ranking holds the given count.
+func (d *Directory) best(r *Ranking, positions []int, block uint64, count int) {
+	for r.Count < count {
+		chosen := -1
+		score := uint64(0)
+		for _, p := range positions {
+			if s := mix(block ^ d.hashes[p]); (chosen < 0 || s > score) && !r.holds(p) {
+				chosen = p
+				score = s
+			}
+		}
+		if chosen < 0 {
+			return
+		}
+		r.Positions[r.Count] = chosen
+		r.Count++
+	}
+}
+
+func (r *Ranking) holds(position int) bool {
+	for i := range r.Count {
+		if r.Positions[i] == position {
+			return true
+		}
+	}
+	return false
+}
+
+// mix spreads the bits of a hash, so that scores of one block are independent of each other.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// ChooseRelays returns the names of the members of a failure domain that read the platform,
+// highest rendezvous hash first.
+func ChooseRelays(live []Member, failureDomain string) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	var candidates []scored
+	salt := xxhash.Sum64String(failureDomain)
+	for _, m := range live {
+		if m.FailureDomain == failureDomain {
+			candidates = append(candidates, scored{name: m.Name, score: mix(salt ^ xxhash.Sum64String(m.Name))})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b scored) int {
+		if a.score != b.score {
+			if a.score > b.score {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	var names []string
+	for _, c := range candidates[:min(Relays, len(candidates))] {
+		names = append(names, c.name)
+	}
+	return names
+}
--- /dev/null
+++ b/lovageyardd/daemon.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/backend"
+	"lovageyard.example/lovageyard/caller"
+	"lovageyard.example/lovageyard/class"
+	"lovageyard.example/lovageyard/control"
+	"lovageyard.example/lovageyard/decision"
+	"lovageyard.example/lovageyard/operator"
+	"lovageyard.example/lovageyard/peer"
+	"lovageyard.example/lovageyard/peer/wire"
+	"lovageyard.example/lovageyard/placement"
+	"lovageyard.example/lovageyard/platform"
+	"lovageyard.example/lovageyard/server"
+	"lovageyard.example/lovageyard/settings"
+	"lovageyard.example/lovageyard/timer"
+)
+
+// Bounds of the listeners.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	closeTimeout   = 5 * time.Second
+	// leaveMargin is added to the time that callers may keep a look-up's answer.
+	leaveMargin = time.Second
+)
+
+// daemon is a running entry instance.
+type daemon struct {
+	options   options
+	logger    *logrus.Logger
+	timer     lovageyard.Timer
+	control   *control.Control
+	backend   *backend.Client
+	platform  *platform.Client
+	peers     *peer.Client
+	callers   *http.Server
+	peering   *http.Server
+	operators *http.Server
+}
+
+// listeners are the three sockets of an entry instance.
+type listeners struct {
+	callers   net.Listener
+	peers     net.Listener
+	operators net.Listener
+}
+
+func listen(o options) (listeners, error) {
+	var l listeners
+	for _, s := range []struct {
+		setting string
+		address string
+		into    *net.Listener
+	}{
+		{"caller-address", o.CallerAddress, &l.callers},
+		{"peer-address", o.PeerAddress, &l.peers},
+		{"operator-address", o.OperatorAddress, &l.operators},
+	} {
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			l.close()
+			return l, errors.Wrap(err, "--"+s.setting)
+		}
+		*s.into = listener
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.peers, l.operators} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+}
+
+// start opens the listeners and begins to serve; it prints one line that says where.
+func start(o options) (*daemon, error) {
+	logger, err := settings.Logger(o.LogLevel, o.LogFormat)
+	if err != nil {
+		return nil, err
+	}
+	l, err := listen(o)
+	if err != nil {
+		return nil, err
+	}
+	clock := timer.Clock{}
+	self := lovageyard.EntryInstance{
+		Name:            o.Instance,
+		Life:            clock.Now().UnixNano(),
+		FailureDomain:   o.FailureDomain,
+		Region:          o.Region,
+		CallerAddress:   l.callers.Addr().String(),
+		PeerAddress:     l.peers.Addr().String(),
+		OperatorAddress: l.operators.Addr().String(),
+		State:           lovageyard.StateLive,
+	}
+	d := assemble(o, self, logger, clock)
+	d.control.Start()
+	d.serve(d.callers, l.callers)
+	d.serve(d.peering, l.peers)
+	d.serve(d.operators, l.operators)
+	logger.WithFields(logrus.Fields{
+		"instance":         self.Name,
+		"caller-address":   self.CallerAddress,
+		"peer-address":     self.PeerAddress,
+		"operator-address": self.OperatorAddress,
+	}).Info("serving")
+	return d, errors.Wrap(json.NewEncoder(os.Stdout).Encode(self), "announce")
+}
+
+func assemble(o options, self lovageyard.EntryInstance, logger *logrus.Logger, clock lovageyard.Timer) *daemon {
+	d := &daemon{
+		options:  o,
+		logger:   logger,
+		timer:    clock,
+		backend:  backend.NewClient(),
+		platform: platform.NewClient(o.PlatformAddress),
+		peers:    peer.NewClient(),
+	}
+	registry := metrics.NewRegistry()
+	recorder := decision.NewLog(logger)
+	d.control = control.New(control.Settings{
+		Self:      self,
+		Table:     d.platform,
+		Objects:   d.platform,
+		Instances: d.platform,
+		Backend:   d.backend,
+		Peers:     d.peers,
+		Timer:     clock,
+		Recorder:  recorder,
+		Logger:    logger,
+		Metrics:   registry,
+		SeedPeers: o.PeerAddresses,
+		KeepFor:   o.KeepFor,
+		Headroom:  o.Headroom,
+		Pool:      server.Settings{Mode: server.Mode(o.Choice), QueuePerSlot: o.QueuePerSlot},
+		Latencies: placement.Latencies{SameRegion: o.SameRegionDelay, Else: o.OtherRegionDelay},
+		LeaseSpan: o.LeaseSpan,
+		Seed:      uint64(self.Life),
+	})
+	handler := caller.NewHandler(caller.Parts{
+		Source:   d.control,
+		Watcher:  d.control,
+		Backend:  d.backend,
+		Timer:    clock,
+		Recorder: recorder,
+		Metrics:  registry,
+		Self:     self,
+	})
+	d.callers = newServer(handler)
+	d.peering = newServer(wire.NewPeersServer(d.control))
+	d.operators = newServer(operator.NewHandler(d.control, d.platform, clock, registry))
+	return d
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+}
+
+func (d *daemon) serve(s *http.Server, l net.Listener) {
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.logger.WithError(err).Error("a listener failed")
+		}
+	}()
+}
+
+// stop leaves look-ups, serves on while callers may still hold an answer that names
+// this instance, lets all requests in flight end, and closes everything. When hurry
+// ends, the waits end too.
+func (d *daemon) stop(hurry context.Context) error {
+	d.logger.Info("leaving")
+	d.control.Leave()
+	kept := d.timer.After(d.options.KeepFor + leaveMargin)
+	defer kept.Close()
+	select {
+	case <-kept.C():
+	case <-hurry.Done():
+	}
+	err := d.drainCallers(hurry)
+	bound, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = d.operators.Shutdown(bound)
+	_ = d.peering.Shutdown(bound)
+	d.control.Close()
+	d.backend.Close()
+	d.platform.Close()
+	d.peers.Close()
+	d.logger.Info("stopped")
+	return err
+}
+
+// drainCallers waits for the callers' requests in flight, at most for the longest deadline.
+func (d *daemon) drainCallers(hurry context.Context) error {
+	bound, cancel := context.WithTimeout(hurry, d.longestDeadline())
+	defer cancel()
+	err := d.callers.Shutdown(bound)
+	if hurry.Err() != nil {
+		d.callers.Close()
+		return nil
+	}
+	return errors.Wrap(err, "requests in flight")
+}
+
+func (d *daemon) longestDeadline() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range d.control.Snapshot().Classes.All() {
+		longest = max(longest, c.Deadline.Std())
+	}
+	return min(longest+closeTimeout, class.MaxDeadline)
+}
--- /dev/null
+++ b/move/cell.go
@@ -0,0 +1,132 @@
+package move
+
+import "lovageyard.example/lovageyard"
+
+// whole is the fraction from which on a cell counts as moved altogether.
+const whole = 1 - 1e-9
+
+// Cell says where the work of one bucket goes.
+type Cell struct {
+	// Site is where the bucket's work is.
+	Site string
+	// Next is where it moves to; equal to Site if it does not move.
+	Next string
+	// Settled is the fraction, 0 to 1, that has moved for good.
+	Settled float64
+	// Limit is the fraction up to which requests may move in this step.
+	Limit float64
+}
+
+// Zone of a position in a cell.
+type zone int
+
+const (
+	zoneStays zone = iota
+	zoneMoving
+	zoneMoved
+)
+
+func (c *Cell) zone(position float64) zone {
+	switch {
+	case c.Next == c.Site || position >= c.Limit:
+		return zoneStays
+	case position < c.Settled:
+		return zoneMoved
+	}
+	return zoneMoving
+}
+
+// Route returns the site of a request, and whether the request counts as moved work;
+// the gate decides for requests of the moving part. The position is drawn anew for
+// each request, evenly from 0 to 1, so that no client outweighs a cell's fraction.
+func (c *Cell) Route(position float64, g *Gate) (site string, moved bool) {
+	switch c.zone(position) {
+	case zoneMoved:
+		return c.Next, false
+	case zoneMoving:
+		if g.Take() {
+			return c.Next, true
+		}
+	}
+	return c.Site, false
+}
+
+// settle ends the cell's step, of whose moving part the given ratio has moved.
+func (c *Cell) settle(ratio float64) {
+	c.Settled += (c.Limit - c.Settled) * ratio
+	c.Limit = c.Settled
+	if c.Settled >= whole {
+		*c = Cell{Site: c.Next, Next: c.Next}
+	}
+	if c.Settled <= 1-whole {
+		c.Settled = 0
+		c.Limit = 0
+	}
+}
+
+// aim points a cell that is between steps at a site. A cell that has moved in part
+// first ends that move, or turns round if it is to go back.
+func (c *Cell) aim(site string) {
+	switch {
+	case c.Settled == 0:
+		*c = Cell{Site: c.Site, Next: site}
+	case site == c.Site:
+		*c = Cell{
+			Site:    c.Next,
+			Next:    c.Site,
+			Settled: 1 - c.Settled,
+			Limit:   1 - c.Settled,
+		}
+	}
+}
+
+// Home holds the cells of one home failure domain.
+type Home struct {
+	FailureDomain string
+	Cells         []Cell
+}
+
+// Applied is what one entry instance applies for a class.
+type Applied struct {
+	// Step is the plan step whose placement the cells have reached or move to.
+	Step int64
+	// Homes are in the order of the plan.
+	Homes []Home
+}
+
+// FromPlan returns the placement of a plan as applied in full.
+func FromPlan(p lovageyard.ClassPlan) Applied {
+	a := Applied{Step: p.Step, Homes: make([]Home, 0, len(p.Homes))}
+	for _, h := range p.Homes {
+		a.Homes = append(a.Homes, newHome(&p, h.FailureDomain))
+	}
+	return a
+}
+
+func newHome(p *lovageyard.ClassPlan, home string) Home {
+	h := Home{FailureDomain: home, Cells: make([]Cell, lovageyard.Buckets)}
+	for bucket := range h.Cells {
+		site := p.SiteOf(home, bucket)
+		h.Cells[bucket] = Cell{Site: site, Next: site}
+	}
+	return h
+}
+
+// Clone returns a copy that shares nothing with a.
+func (a Applied) Clone() Applied {
+	homes := make([]Home, len(a.Homes))
+	for i, h := range a.Homes {
+		homes[i] = Home{FailureDomain: h.FailureDomain, Cells: append([]Cell(nil), h.Cells...)}
+	}
+	return Applied{Step: a.Step, Homes: homes}
+}
+
+// Find returns the cells of a home failure domain, or nil.
+func (a *Applied) Find(home string) []Cell {
+	for i := range a.Homes {
+		if a.Homes[i].FailureDomain == home {
+			return a.Homes[i].Cells
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/move/stepper.go
@@ -0,0 +1,251 @@
+package move
+
+import (
+	"time"
+
+	"lovageyard.example/lovageyard"
+)
+
+// priorShare is the part of a class's demand that is taken to be spread evenly, so that
+// a bucket without a measured request still weighs something.
+const priorShare = 0.02
+
+// Demand counts the requests of a class that one entry instance saw of late.
+type Demand struct {
+	// Total is the number of requests in one interval.
+	Total float64
+	// Homes holds the share of each home failure domain.
+	Homes []HomeDemand
+}
+
+// HomeDemand counts the requests of one home failure domain, bucket by bucket.
+type HomeDemand struct {
+	FailureDomain string
+	Buckets       []float64
+}
+
+// Of returns the requests of one bucket.
+func (d *Demand) Of(home string, bucket int) float64 {
+	for i := range d.Homes {
+		if d.Homes[i].FailureDomain == home {
+			return d.Homes[i].Buckets[bucket]
+		}
+	}
+	return 0
+}
+
+// Stepper moves one class's work at one entry instance towards the newest plan, in
+// steps that are at least one interval apart and each within the cap.
+type Stepper struct {
+	gate      *Gate
+	target    lovageyard.Target
+	plan      lovageyard.ClassPlan
+	applied   Applied
+	adopted   bool
+	moving    bool
+	steppedAt time.Time
+}
+
+// NewStepper returns a Stepper without a placement; Adopt gives it one.
+func NewStepper(target lovageyard.Target) *Stepper {
+	return &Stepper{
+		gate:   NewGate(target.Cap, 0),
+		target: target,
+	}
+}
+
+// Gate returns the gate that the stepper's routes pass.
+func (s *Stepper) Gate() *Gate {
+	return s.gate
+}
+
+// Adopted says whether the stepper has a placement.
+func (s *Stepper) Adopted() bool {
+	return s.adopted
+}
+
+// Applied returns a copy of what the stepper applies.
+func (s *Stepper) Applied() Applied {
+	return s.applied.Clone()
+}
+
+// Adopt takes over a placement that is in force elsewhere; only the first one counts.
+// The steps that others may have under way are taken as just begun.
+func (s *Stepper) Adopt(a Applied, now time.Time) {
+	if s.adopted {
+		return
+	}
+	s.adopted = true
+	s.applied = a.Clone()
+	s.steppedAt = now
+	s.moving = s.anyMoving()
+}
+
+// SetTarget takes in a changed target of the class.
+func (s *Stepper) SetTarget(t lovageyard.Target) {
+	s.target = t
+}
+
+// SetPlan takes in a plan; an older one is ignored.
+func (s *Stepper) SetPlan(p lovageyard.ClassPlan) {
+	if p.Step < s.plan.Step {
+		return
+	}
+	s.plan = p
+}
+
+// Settled returns the plan step that is applied in full, and the share of demand that still has to move.
+func (s *Stepper) Settled(d Demand) (step int64, remaining float64) {
+	if !s.adopted {
+		return 0, 1
+	}
+	open := s.open(d)
+	if open == 0 && !s.moving {
+		return s.plan.Step, 0
+	}
+	return s.applied.Step, open
+}
+
+// Tick ends a step that is over and begins the next; it says whether anything changed.
+// The level argument says that every peer that shares this instance's clients has
+// begun the step that this instance has under way.
+func (s *Stepper) Tick(now time.Time, d Demand, level bool) bool {
+	if !s.adopted || s.plan.Step == 0 {
+		return false
+	}
+	s.gate.Set(s.target.Cap, d.Total)
+	changed := s.addHomes()
+	if s.moving {
+		if now.Sub(s.steppedAt) < s.target.Interval.Std() || !level {
+			return changed
+		}
+		s.settle()
+		changed = true
+	}
+	return s.begin(now, d) || changed
+}
+
+// addHomes takes over the placement of home failure domains that the plan has newly got.
+func (s *Stepper) addHomes() bool {
+	added := false
+	for _, h := range s.plan.Homes {
+		if s.applied.Find(h.FailureDomain) == nil {
+			s.applied.Homes = append(s.applied.Homes, newHome(&s.plan, h.FailureDomain))
+			added = true
+		}
+	}
+	return added
+}
+
+func (s *Stepper) settle() {
+	ratio := s.gate.Reset().Ratio()
+	for i := range s.applied.Homes {
+		cells := s.applied.Homes[i].Cells
+		for b := range cells {
+			if cells[b].Limit > cells[b].Settled {
+				cells[b].settle(ratio)
+			}
+		}
+	}
+	s.moving = false
+}
+
+// begin opens the next step: buckets in a fixed order, until the cap's share is reached.
+func (s *Stepper) begin(now time.Time, d Demand) bool {
+	prior := s.prior(d)
+	budget := s.target.Cap * (d.Total + prior*float64(s.cells()))
+	begun := false
+	for i := range s.applied.Homes {
+		h := &s.applied.Homes[i]
+		for b := range h.Cells {
+			c := &h.Cells[b]
+			if !s.aim(c, h.FailureDomain, b) || budget <= 0 {
+				continue
+			}
+			budget -= open(c, d.Of(h.FailureDomain, b)+prior, budget)
+			begun = true
+		}
+	}
+	if begun {
+		s.moving = true
+		s.steppedAt = now
+		s.gate.Reset()
+	}
+	if !s.moving {
+		s.applied.Step = s.plan.Step
+	}
+	return begun
+}
+
+// prior returns the demand that each bucket is taken to have besides what was measured.
+func (s *Stepper) prior(d Demand) float64 {
+	if d.Total == 0 {
+		return 1
+	}
+	return priorShare * d.Total / float64(s.cells())
+}
+
+func (s *Stepper) cells() int {
+	return len(s.applied.Homes) * lovageyard.Buckets
+}
+
+// aim points a cell at its site in the plan and says whether it has to move.
+func (s *Stepper) aim(c *Cell, home string, bucket int) bool {
+	site := s.plan.SiteOf(home, bucket)
+	if site == "" {
+		return c.Next != c.Site
+	}
+	if c.Next != site {
+		c.aim(site)
+	}
+	return c.Next != c.Site
+}
+
+// open raises a cell's limit as far as the budget goes and returns the demand taken.
+func open(c *Cell, demand, budget float64) float64 {
+	rest := demand * (1 - c.Settled)
+	if rest <= budget {
+		c.Limit = 1
+		return rest
+	}
+	c.Limit = c.Settled + budget/demand
+	return budget
+}
+
+func (s *Stepper) anyMoving() bool {
+	for i := range s.applied.Homes {
+		for _, c := range s.applied.Homes[i].Cells {
+			if c.Limit > c.Settled {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// open returns the share of demand whose cells have not reached the plan.
+func (s *Stepper) open(d Demand) float64 {
+	buckets := 0
+	count := 0
+	work := 0.0
+	for i := range s.applied.Homes {
+		h := &s.applied.Homes[i]
+		for b := range h.Cells {
+			count++
+			c := &h.Cells[b]
+			site := s.plan.SiteOf(h.FailureDomain, b)
+			if c.Next == c.Site && (site == "" || site == c.Site) {
+				continue
+			}
+			buckets++
+			work += d.Of(h.FailureDomain, b) * (1 - c.Settled)
+		}
+	}
+	if buckets == 0 {
+		return 0
+	}
+	if d.Total > 0 && work > 0 {
+		return work / d.Total
+	}
+	return float64(buckets) / float64(count)
+}
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,150 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovageyard.example/lovageyard"
+)
+
+// clientTimeout bounds one call of the command line.
+const clientTimeout = 10 * time.Second
+
+// maxAnswer bounds an answer that the client reads.
+const maxAnswer = 64 << 20
+
+// CallError is a failure that an instance answered with.
+type CallError struct {
+	Status  int
+	Problem Problem
+}
+
+// Error returns the problem.
+func (e *CallError) Error() string {
+	return e.Problem.Error
+}
+
+// Client calls the operators' interface of the first instance that answers.
+type Client struct {
+	addresses []string
+	http      *http.Client
+}
+
+// NewClient returns a client that tries the addresses in turn.
+func NewClient(addresses []string) *Client {
+	return &Client{addresses: addresses, http: &http.Client{Timeout: clientTimeout}}
+}
+
+// Status returns the status of the instance that answers.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var s Status
+	return s, c.get(ctx, "/status", &s)
+}
+
+// Class returns a class with its version.
+func (c *Client) Class(ctx context.Context, name string) (VersionedClass, error) {
+	var k VersionedClass
+	return k, c.get(ctx, "/classes/"+url.PathEscape(name), &k)
+}
+
+// PutClass writes a class under the version that was read.
+func (c *Client) PutClass(ctx context.Context, k lovageyard.Class, version int64) (VersionedClass, error) {
+	var accepted VersionedClass
+	path := "/classes/" + url.PathEscape(k.Name) + "?version=" + strconv.FormatInt(version, 10)
+	return accepted, c.call(ctx, http.MethodPut, path, k, &accepted)
+}
+
+// DeleteClass deletes a class under the version that was read.
+func (c *Client) DeleteClass(ctx context.Context, name string, version int64) error {
+	path := "/classes/" + url.PathEscape(name) + "?version=" + strconv.FormatInt(version, 10)
+	return c.call(ctx, http.MethodDelete, path, nil, nil)
+}
+
+// Drain orders a site to be emptied.
+func (c *Client) Drain(ctx context.Context, site string, by time.Time) error {
+	return c.call(ctx, http.MethodPost, "/sites/"+url.PathEscape(site)+"/drain", DrainOrder{EmptyBy: by}, nil)
+}
+
+// Restore lifts the order to drain a site.
+func (c *Client) Restore(ctx context.Context, site string) error {
+	return c.call(ctx, http.MethodPost, "/sites/"+url.PathEscape(site)+"/restore", nil, nil)
+}
+
+// Explain tells where a request of a client goes.
+func (c *Client) Explain(ctx context.Context, class, client string) (Explanation, error) {
+	var e Explanation
+	query := url.Values{"class": {class}, "client": {client}}
+	return e, c.get(ctx, "/explain?"+query.Encode(), &e)
+}
+
+func (c *Client) get(ctx context.Context, path string, into any) error {
+	return c.call(ctx, http.MethodGet, path, nil, into)
+}
+
+// call tries the addresses in turn. A write goes to the next address only if the last
+// one could not be reached at all.
+func (c *Client) call(ctx context.Context, method, path string, body, into any) error {
+	var data []byte
+	if body != nil {
+		var err error
+		data, err = json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "request")
+		}
+	}
+	var last error
+	for _, address := range c.addresses {
+		response, err := c.send(ctx, method, "http://"+address+path, data)
+		if err != nil {
+			last = err
+			if method != http.MethodGet && !isDialError(err) {
+				return errors.Wrap(err, "the order may have taken effect")
+			}
+			continue
+		}
+		return read(response, into)
+	}
+	return errors.Wrap(last, "no operator address answered")
+}
+
+func (c *Client) send(ctx context.Context, method, address string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return c.http.Do(request)
+}
+
+func read(response *http.Response, into any) error {
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return errors.Wrap(err, "answer")
+	}
+	if response.StatusCode != http.StatusOK {
+		failure := &CallError{Status: response.StatusCode}
+		if json.Unmarshal(data, &failure.Problem) != nil || failure.Problem.Error == "" {
+			failure.Problem.Error = response.Status
+		}
+		return failure
+	}
+	if into == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(data, into), "answer")
+}
+
+func isDialError(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) && failure.Op == "dial"
+}
--- /dev/null
+++ b/peer/convert.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/instance"
+	"lovageyard.example/lovageyard/move"
+	"lovageyard.example/lovageyard/peer/wire"
+)
+
+// FromMember returns the wire form of a member.
+func FromMember(m instance.Member) *wire.Member {
+	w := &wire.Member{
+		Instance:        m.Name,
+		Life:            m.Life,
+		FailureDomain:   m.FailureDomain,
+		Region:          m.Region,
+		CallerAddress:   m.CallerAddress,
+		PeerAddress:     m.PeerAddress,
+		OperatorAddress: m.OperatorAddress,
+		State:           string(m.State),
+		Heartbeat:       m.Heartbeat,
+		Version:         m.Version,
+	}
+	w.Steps = FromSteps(m.Steps)
+	return w
+}
+
+// FromSteps returns the wire form of steps.
+func FromSteps(steps []instance.Step) []*wire.Step {
+	var out []*wire.Step
+	for _, s := range steps {
+		out = append(out, &wire.Step{Class: s.Class, Begun: s.Begun, Settled: s.Settled})
+	}
+	return out
+}
+
+// ToSteps returns the steps of a wire message.
+func ToSteps(steps []*wire.Step) []instance.Step {
+	var out []instance.Step
+	for _, s := range steps {
+		out = append(out, instance.Step{Class: s.GetClass(), Begun: s.GetBegun(), Settled: s.GetSettled()})
+	}
+	return out
+}
+
+// ToMember returns the member of a wire message.
+func ToMember(w *wire.Member) instance.Member {
+	m := instance.Member{Heartbeat: w.GetHeartbeat(), Version: w.GetVersion(), Steps: ToSteps(w.GetSteps())}
+	m.EntryInstance = lovageyard.EntryInstance{
+		Name:            w.GetInstance(),
+		Life:            w.GetLife(),
+		FailureDomain:   w.GetFailureDomain(),
+		Region:          w.GetRegion(),
+		CallerAddress:   w.GetCallerAddress(),
+		PeerAddress:     w.GetPeerAddress(),
+		OperatorAddress: w.GetOperatorAddress(),
+		State:           lovageyard.InstanceState(w.GetState()),
+	}
+	return m
+}
+
+// FromChanges returns the wire form of changes.
+func FromChanges(c lovageyard.Changes) *wire.Changes {
+	w := &wire.Changes{After: c.After, To: c.To}
+	for _, r := range c.Rows {
+		w.Rows = append(w.Rows, &wire.Row{Table: r.Table, Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted})
+	}
+	return w
+}
+
+// ToChanges returns the changes of a wire message.
+func ToChanges(w *wire.Changes) lovageyard.Changes {
+	c := lovageyard.Changes{After: w.GetAfter(), To: w.GetTo()}
+	for _, r := range w.GetRows() {
+		c.Rows = append(c.Rows, lovageyard.Row{Table: r.GetTable(), Key: r.GetKey(), Version: r.GetVersion(), Value: r.GetValue(), Deleted: r.GetDeleted()})
+	}
+	return c
+}
+
+// FromApplied returns the wire form of the placement that is applied for a class.
+func FromApplied(class string, a move.Applied) *wire.Applied {
+	w := &wire.Applied{Class: class, Step: a.Step}
+	positions := make(map[string]int32)
+	position := func(site string) int32 {
+		p, found := positions[site]
+		if !found {
+			p = int32(len(w.Sites))
+			positions[site] = p
+			w.Sites = append(w.Sites, site)
+		}
+		return p
+	}
+	for _, h := range a.Homes {
+		home := &wire.Home{FailureDomain: h.FailureDomain}
+		for _, c := range h.Cells {
+			home.Cells = append(home.Cells, &wire.Cell{
+				Site:    position(c.Site),
+				Next:    position(c.Next),
+				Settled: float32(c.Settled),
+				Limit:   float32(c.Limit),
+			})
+		}
+		w.Homes = append(w.Homes, home)
+	}
+	return w
+}
+
+// ToApplied returns the placement of a wire message; homes whose cells are not
+// complete or name no known site are left out.
+func ToApplied(w *wire.Applied) move.Applied {
+	a := move.Applied{Step: w.GetStep()}
+	for _, h := range w.GetHomes() {
+		home := move.Home{FailureDomain: h.GetFailureDomain()}
+		for _, c := range h.GetCells() {
+			if !known(w, c.GetSite()) || !known(w, c.GetNext()) {
+				break
+			}
+			home.Cells = append(home.Cells, move.Cell{
+				Site:    w.Sites[c.GetSite()],
+				Next:    w.Sites[c.GetNext()],
+				Settled: float64(c.GetSettled()),
+				Limit:   float64(c.GetLimit()),
+			})
+		}
+		if len(home.Cells) == lovageyard.Buckets {
+			a.Homes = append(a.Homes, home)
+		}
+	}
+	return a
+}
+
+func known(w *wire.Applied, site int32) bool {
+	return site >= 0 && int(site) < len(w.GetSites())
+}
--- /dev/null
+++ b/route/work.go
@@ -0,0 +1,154 @@
+package route
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/block"
+	"lovageyard.example/lovageyard/grant"
+	"lovageyard.example/lovageyard/move"
+	"lovageyard.example/lovageyard/server"
+)
+
+// Reasons of a choice of site.
+const (
+	ReasonPlan     = "plan"
+	ReasonMoving   = "moving"
+	ReasonUnplaced = "no plan yet; own failure domain"
+	ReasonGrant    = "own site takes no work; grant"
+	ReasonForced   = "own site takes no work"
+)
+
+// retryAfterNoSite is when a caller whose work has no site should come back.
+const retryAfterNoSite = time.Second
+
+// HomeCount counts the requests of one home failure domain, bucket by bucket.
+type HomeCount struct {
+	FailureDomain string
+	Buckets       [lovageyard.Buckets]atomic.Uint64
+}
+
+// Site is one site that has a class's service.
+type Site struct {
+	Name      string
+	Pool      *server.Pool
+	Allowance *grant.Allowance
+	Local     bool
+}
+
+// Work is what traffic needs of one class. Its pointers lead to parts that outlive the
+// snapshot; all else is immutable.
+type Work struct {
+	Class  lovageyard.Class
+	Step   int64
+	Gate   *move.Gate
+	Forced *move.Gate
+	Budget *server.Budget
+	Counts []*HomeCount
+	Homes  []move.Home
+	// Sites are in the order of their distance from this instance.
+	Sites []Site
+}
+
+// Choice is the site chosen for one attempt.
+type Choice struct {
+	Site   string
+	Pool   *server.Pool
+	Moved  bool
+	Reason string
+	// Err refuses the request; RetryAfter says when to come back.
+	Err        *lovageyard.RequestError
+	RetryAfter time.Duration
+}
+
+// Count counts one request of the class.
+func (w *Work) Count(p block.Place, home string) {
+	w.Gate.Arrive()
+	if w.Forced != w.Gate {
+		w.Forced.Arrive()
+	}
+	for _, c := range w.Counts {
+		if c.FailureDomain == home {
+			c.Buckets[p.Bucket].Add(1)
+			return
+		}
+	}
+}
+
+// Choose returns the site for a request of a block with a home failure domain.
+func (w *Work) Choose(p block.Place, home string, now time.Time) Choice {
+	cells := w.cells(home)
+	if cells == nil {
+		return w.local()
+	}
+	name, moved := cells[p.Bucket].Route(rand.Float64(), w.Gate)
+	site := w.site(name)
+	if site != nil && site.Pool.TakesWork() {
+		return Choice{Site: name, Pool: site.Pool, Moved: moved, Reason: reasonOf(moved)}
+	}
+	return w.failOver(name, now)
+}
+
+func reasonOf(moved bool) string {
+	if moved {
+		return ReasonMoving
+	}
+	return ReasonPlan
+}
+
+// failOver sends a request whose site takes no work where a grant and the cap allow.
+func (w *Work) failOver(from string, now time.Time) Choice {
+	for i := range w.Sites {
+		s := &w.Sites[i]
+		if s.Name == from || !s.Pool.TakesWork() || !s.Allowance.Take(now) {
+			continue
+		}
+		if !w.takeForced() {
+			return refusal("site "+from+" takes no work, and the failover cap is used up", retryAfterNoSite)
+		}
+		return Choice{Site: s.Name, Pool: s.Pool, Moved: true, Reason: ReasonGrant}
+	}
+	return refusal("site "+from+" takes no work, and no grant is left", retryAfterNoSite)
+}
+
+func (w *Work) takeForced() bool {
+	if w.Gate.TakeForced() {
+		return true
+	}
+	return w.Forced != w.Gate && w.Forced.TakeForced()
+}
+
+// local serves from the own failure domain while no placement is known.
+func (w *Work) local() Choice {
+	for i := range w.Sites {
+		s := &w.Sites[i]
+		if s.Local && s.Pool.TakesWork() {
+			return Choice{Site: s.Name, Pool: s.Pool, Reason: ReasonUnplaced}
+		}
+	}
+	return refusal("no plan is known, and no site of this failure domain takes work", retryAfterNoSite)
+}
+
+func refusal(reason string, after time.Duration) Choice {
+	return Choice{Err: lovageyard.NotRun(reason, nil), RetryAfter: after}
+}
+
+func (w *Work) cells(home string) []move.Cell {
+	for i := range w.Homes {
+		if w.Homes[i].FailureDomain == home {
+			return w.Homes[i].Cells
+		}
+	}
+	return nil
+}
+
+func (w *Work) site(name string) *Site {
+	for i := range w.Sites {
+		if w.Sites[i].Name == name {
+			return &w.Sites[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/settings/parse.go
@@ -0,0 +1,85 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// ExitUsage is the exit status of a program whose settings are wrong.
+const ExitUsage = 2
+
+// Checker is a set of settings that checks its values.
+type Checker interface {
+	Check() error
+}
+
+// Parse fills the settings from the arguments and the environment, where a flag such as
+// --caller-address is PREFIX_CALLER_ADDRESS, and checks them. It ends the program with
+// ExitUsage and one line on standard error if one is wrong.
+func Parse(name, prefix, about string, into any) *kong.Context {
+	parser, err := kong.New(into,
+		kong.Name(name),
+		kong.Description(about),
+		kong.DefaultEnvars(prefix),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		fail(os.Stderr, name, err)
+	}
+	parsed, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		fail(os.Stderr, name, err)
+	}
+	if checker, ok := into.(Checker); ok {
+		if err := checker.Check(); err != nil {
+			fail(os.Stderr, name, err)
+		}
+	}
+	return parsed
+}
+
+func fail(w io.Writer, name string, err error) {
+	fmt.Fprintf(w, "%s: %v\n", name, err)
+	os.Exit(ExitUsage)
+}
+
+// Address returns an error that names the setting unless the value has the form host:port.
+func Address(setting, value string) error {
+	_, port, err := net.SplitHostPort(value)
+	if err != nil {
+		return errors.Errorf("--%s: %q is not of the form host:port", setting, value)
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		return errors.Errorf("--%s: port %q is not 0 to 65535", setting, port)
+	}
+	return nil
+}
+
+// Required returns an error that names the setting if the value is empty.
+func Required(setting, value string) error {
+	if value == "" {
+		return errors.Errorf("--%s: a value is needed", setting)
+	}
+	return nil
+}
+
+// Logger returns a logger of a level that writes to standard error, as JSON or text.
+func Logger(level, format string) (*logrus.Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Errorf("--log-level: %q is not one of error, warning, info, debug", level)
+	}
+	logger := logrus.New()
+	logger.SetLevel(parsed)
+	if format == "json" {
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return logger, nil
+}
--- /dev/null
+++ b/timer/clock.go
@@ -0,0 +1,49 @@
+package timer
+
+import (
+	"time"
+
+	"lovageyard.example/lovageyard"
+)
+
+// Clock is the timer service that follows the machine's clock.
+type Clock struct{}
+
+// Now returns the present time.
+func (Clock) Now() time.Time {
+	return time.Now()
+}
+
+// Subscribe delivers a tick each time the span has passed.
+func (Clock) Subscribe(every time.Duration) lovageyard.Ticks {
+	return &clockTicks{ticker: time.NewTicker(every)}
+}
+
+// After delivers one tick when d has passed.
+func (Clock) After(d time.Duration) lovageyard.Ticks {
+	return &clockTimer{timer: time.NewTimer(d)}
+}
+
+type clockTicks struct {
+	ticker *time.Ticker
+}
+
+func (t *clockTicks) C() <-chan time.Time {
+	return t.ticker.C
+}
+
+func (t *clockTicks) Close() {
+	t.ticker.Stop()
+}
+
+type clockTimer struct {
+	timer *time.Timer
+}
+
+func (t *clockTimer) C() <-chan time.Time {
+	return t.timer.C
+}
+
+func (t *clockTimer) Close() {
+	t.timer.Stop()
+}
