Entry instances pace moves by themselves; the plan names the goal

Cause: the planner published a step at a time and waited until the slowest instance had settled it (8 to 13 s for a 4 s interval); the gate lost admissions to chance, and the tail of a move took two more steps; a step waited for the next 500 ms tick.

Change: the plan holds the whole desired placement with where work may still be, counted at both ends; each instance opens twice the cap's work and lets the gate admit up to the cap, finishes a rest that chance can't lift over the cap at once, and times steps to 50 ms.

--- a/control/control.go
+++ b/control/control.go
@@ -24,7 +24,9 @@
 
 // Periods of the control loop.
 const (
-	tickEvery   = 500 * time.Millisecond
+	tickEvery = 500 * time.Millisecond
+	// stepEvery is how finely the steps of moves are timed.
+	stepEvery   = 50 * time.Millisecond
 	pollEvery   = 500 * time.Millisecond
 	listEvery   = time.Second
 	blocksEvery = 10 * time.Second
@@ -135,7 +137,8 @@
 // Start sets the loop going.
 func (c *Control) Start() {
 	ticks := c.settings.Timer.Subscribe(tickEvery)
-	c.loop.Go(func() { c.run(ticks) })
+	steps := c.settings.Timer.Subscribe(stepEvery)
+	c.loop.Go(func() { c.run(ticks, steps) })
 }
 
 // Close ends the loop and waits for it and for all calls that it began.
@@ -150,13 +153,16 @@
 	return c.snapshot.Load()
 }
 
-func (c *Control) run(ticks lovageyard.Ticks) {
+func (c *Control) run(ticks, steps lovageyard.Ticks) {
 	defer ticks.Close()
+	defer steps.Close()
 	c.tick(c.settings.Timer.Now())
 	for {
 		select {
 		case now := <-ticks.C():
 			c.tick(now)
+		case now := <-steps.C():
+			c.stepWorks(now)
 		case m := <-c.inbox:
 			m.apply(c)
 		case <-c.context.Done():
@@ -224,7 +230,6 @@
 	c.readPlatform(now)
 	c.exchange(now)
 	c.measure(now)
-	c.stepWorks(now)
 	c.expirePools(now)
 	if c.every("probe", probeEvery, now) {
 		c.probe(now)
--- a/control/planner.go
+++ b/control/planner.go
@@ -141,6 +141,7 @@
 			continue
 		}
 		row, _ := c.config.Row(lovageyard.TablePlans, k.Name)
+		reached, left := c.reached(k.Name)
 		inputs = append(inputs, plannerInput{
 			version: row.Version,
 			Input: placement.Input{
@@ -152,27 +153,30 @@
 				Latencies: c.settings.Latencies,
 				Headroom:  c.settings.Headroom,
 				Current:   w.plan,
-				Reached:   c.reached(k.Name),
+				Reached:   reached,
+				Left:      left,
 			},
 		})
 	}
 	return inputs
 }
 
-// reached returns the plan step of a class that all live instances apply in full.
-func (c *Control) reached(class string) int64 {
-	reached := int64(math.MaxInt64)
+// reached returns the plan step of a class that all live instances apply in full, and
+// the largest share of work that one of them still has to move.
+func (c *Control) reached(class string) (step int64, left float64) {
+	step = math.MaxInt64
 	for _, m := range c.members.Live() {
 		for _, s := range m.Steps {
 			if s.Class == class {
-				reached = min(reached, s.Settled)
+				step = min(step, s.Settled)
+				left = max(left, s.Left)
 			}
 		}
 	}
-	if reached == math.MaxInt64 {
-		return 0
+	if step == math.MaxInt64 {
+		return 0, 0
 	}
-	return reached
+	return step, left
 }
 
 // view is what the planner knows of demand and sites.
--- a/control/status.go
+++ b/control/status.go
@@ -90,14 +90,16 @@
 func (c *Control) moveStatus(w *work) operator.MoveStatus {
 	settled, remaining := w.stepper.Settled(w.demand())
 	m := operator.MoveStatus{
-		Class:       w.class.Name,
-		Step:        w.plan.Step,
-		StepHere:    settled,
-		LeftHere:    remaining,
-		StepReached: c.reached(w.class.Name),
+		Class:    w.class.Name,
+		Step:     w.plan.Step,
+		StepHere: settled,
+		LeftHere: remaining,
 	}
+	m.StepReached, m.Move.Remaining = c.reached(w.class.Name)
 	if w.plan.Move != nil {
+		remaining := m.Move.Remaining
 		m.Move = *w.plan.Move
+		m.Move.Remaining = remaining
 	}
 	return m
 }
@@ -134,7 +136,7 @@
 	e.Site = cell.Site
 	e.MovingTo = cell.Next
 	e.Moved = cell.Settled
-	e.MayMove = cell.Limit
+	e.Moving = cell.Moving
 	if w.plan.Move != nil {
 		e.Move = w.plan.Move.Reason
 	}
--- a/control/works.go
+++ b/control/works.go
@@ -18,16 +18,18 @@
 
 // work is the control state of one class.
 type work struct {
-	class     lovageyard.Class
-	plan      lovageyard.ClassPlan
-	planSeen  time.Time
-	stepper   *move.Stepper
-	forced    *move.Gate
-	budget    *server.Budget
-	counts    []*route.HomeCount
-	rates     []*homeRate
-	measured  time.Time
-	neighbour bool
+	class    lovageyard.Class
+	plan     lovageyard.ClassPlan
+	planSeen time.Time
+	stepper  *move.Stepper
+	forced   *move.Gate
+	budget   *server.Budget
+	counts   []*route.HomeCount
+	rates    []*homeRate
+	measured time.Time
+	// rested is the plan step, and restedHomes the number of its homes, that were found applied in full.
+	rested      int64
+	restedHomes int
 }
 
 // homeRate is the measured demand of one home failure domain, in requests a second.
@@ -157,16 +159,48 @@
 			continue
 		}
 		c.adopt(w, neighbours, now)
+		if w.idle(now) {
+			continue
+		}
 		d := w.demand()
 		if w.forced != w.stepper.Gate() {
 			w.forced.Set(w.class.Target.EffectiveFailoverCap()-w.class.Target.Cap, d.Total)
 		}
 		if w.stepper.Tick(now, d, c.level(name, w.begun(), neighbours)) {
 			c.dirty = true
+			c.recordStep(w, d)
 		}
 	}
 }
 
+// idle says whether a class's stepper has nothing to do: no interval is over, or the
+// placement has been in force since it was last asked.
+func (w *work) idle(now time.Time) bool {
+	if !w.stepper.Due(now) {
+		return true
+	}
+	if w.rested == w.plan.Step && w.restedHomes == len(w.plan.Homes) {
+		return true
+	}
+	if settled, _ := w.stepper.Settled(move.Demand{}); settled == w.plan.Step && w.stepper.Resting() {
+		w.rested = w.plan.Step
+		w.restedHomes = len(w.plan.Homes)
+	}
+	return false
+}
+
+// recordStep writes the decision on a step of a move to the log.
+func (c *Control) recordStep(w *work, d move.Demand) {
+	step, left := w.stepper.Settled(d)
+	c.settings.Recorder.Record(lovageyard.Decision{
+		Kind:     "move",
+		Class:    w.class.Name,
+		PlanStep: step,
+		Share:    left,
+		Reason:   "step at this instance",
+	})
+}
+
 // adopt gives a class its first placement when no neighbour can tell what is applied.
 func (c *Control) adopt(w *work, neighbours []instance.Member, now time.Time) {
 	if w.stepper.Adopted() {
@@ -207,8 +241,8 @@
 		if w == nil || w.plan.Step == 0 {
 			continue
 		}
-		settled, _ := w.stepper.Settled(w.demand())
-		steps = append(steps, instance.Step{Class: k.Name, Begun: w.begun(), Settled: settled})
+		settled, left := w.stepper.Settled(w.demand())
+		steps = append(steps, instance.Step{Class: k.Name, Begun: w.begun(), Settled: settled, Left: left})
 	}
 	return steps
 }
--- a/instance.go
+++ b/instance.go
@@ -45,9 +45,9 @@
 
 // LoadReport is what a backend server says of itself with each answer.
 type LoadReport struct {
-	Slots    int  `json:"slots"`
-	InFlight int  `json:"in-flight"`
-	Queued   int  `json:"queued"`
+	Slots    int `json:"slots"`
+	InFlight int `json:"in-flight"`
+	Queued   int `json:"queued"`
 	// Leaving says that the server takes no new work.
 	Leaving bool `json:"leaving,omitempty"`
 	// MeanMs is the mean time that the server spent on a request of late, in milliseconds.
--- a/instance/table.go
+++ b/instance/table.go
@@ -38,6 +38,8 @@
 	Begun int64
 	// Settled is the plan step that the instance applies in full.
 	Settled int64
+	// Left is the share of the instance's work that still has to move.
+	Left float64
 }
 
 type entry struct {
--- a/lovageyard-load/result.go
+++ b/lovageyard-load/result.go
@@ -169,4 +169,3 @@
 	}
 	return strings.Join(parts, " ")
 }
-
--- a/lovageyard/show.go
+++ b/lovageyard/show.go
@@ -90,7 +90,7 @@
 	return s.print(x, func(w io.Writer) {
 		table(w, "FIELD\tVALUE", func(w io.Writer) {
 			fmt.Fprintf(w, "block\t%s\nhome\t%s\nbucket\t%d\n", x.Block, x.Home, x.Bucket)
-			fmt.Fprintf(w, "site\t%s\nmoving to\t%s\nmoved\t%.3f\nmay move\t%.3f\n", x.Site, x.MovingTo, x.Moved, x.MayMove)
+			fmt.Fprintf(w, "site\t%s\nmoving to\t%s\nmoved\t%.3f\nmoving now\t%v\n", x.Site, x.MovingTo, x.Moved, x.Moving)
 			fmt.Fprintf(w, "planned site\t%s\nplan step\t%d\nmove\t%s\nreason\t%s\n", x.PlannedSite, x.PlanStep, x.Move, x.Reason)
 		})
 	})
--- a/move/cell.go
+++ b/move/cell.go
@@ -13,55 +13,32 @@
 	Next string
 	// Settled is the fraction, 0 to 1, that has moved for good.
 	Settled float64
-	// Limit is the fraction up to which requests may move in this step.
-	Limit float64
+	// Moving says that the rest moves in this step, as far as the gate allows.
+	Moving bool
 }
 
-// Zone of a position in a cell.
-type zone int
-
-const (
-	zoneStays zone = iota
-	zoneMoving
-	zoneMoved
-)
-
-func (c *Cell) zone(position float64) zone {
+// Route returns the site of a request, and whether the request counts as moved work.
+// The position is drawn anew for each request, evenly from 0 to 1, so that no client
+// outweighs the settled fraction; the rest asks the gate while the cell is moving.
+func (c *Cell) Route(position float64, g *Gate) (site string, moved bool) {
 	switch {
-	case c.Next == c.Site || position >= c.Limit:
-		return zoneStays
+	case c.Next == c.Site:
+		return c.Site, false
 	case position < c.Settled:
-		return zoneMoved
-	}
-	return zoneMoving
-}
-
-// Route returns the site of a request, and whether the request counts as moved work;
-// the gate decides for requests of the moving part. The position is drawn anew for
-// each request, evenly from 0 to 1, so that no client outweighs a cell's fraction.
-func (c *Cell) Route(position float64, g *Gate) (site string, moved bool) {
-	switch c.zone(position) {
-	case zoneMoved:
 		return c.Next, false
-	case zoneMoving:
-		if g.Take() {
-			return c.Next, true
-		}
+	case c.Moving && g.Take():
+		return c.Next, true
 	}
 	return c.Site, false
 }
 
-// settle ends the cell's step, of whose moving part the given ratio has moved.
+// settle ends the cell's step, in which the given ratio of the rest was admitted.
 func (c *Cell) settle(ratio float64) {
-	c.Settled += (c.Limit - c.Settled) * ratio
-	c.Limit = c.Settled
+	c.Moving = false
+	c.Settled += (1 - c.Settled) * ratio
 	if c.Settled >= whole {
 		*c = Cell{Site: c.Next, Next: c.Next}
 	}
-	if c.Settled <= 1-whole {
-		c.Settled = 0
-		c.Limit = 0
-	}
 }
 
 // aim points a cell that is between steps at a site. A cell that has moved in part
@@ -71,12 +48,7 @@
 	case c.Settled == 0:
 		*c = Cell{Site: c.Site, Next: site}
 	case site == c.Site:
-		*c = Cell{
-			Site:    c.Next,
-			Next:    c.Site,
-			Settled: 1 - c.Settled,
-			Limit:   1 - c.Settled,
-		}
+		*c = Cell{Site: c.Next, Next: c.Site, Settled: 1 - c.Settled}
 	}
 }
 
--- a/move/gate.go
+++ b/move/gate.go
@@ -6,8 +6,12 @@
 	"sync/atomic"
 )
 
-// burstShare is the part of the cap that a Gate holds back to pay for its burst.
-const burstShare = 0.1
+// burstShare is the part of an interval's moved work that a Gate may admit at once.
+const burstShare = 0.05
+
+// fewest is the number of moved requests in an interval below which the gate halves its
+// rate, as a burst of one request would otherwise use up the cap.
+const fewest = 2
 
 // Gate admits requests to the sites that their buckets are moving to. For every run
 // of requests it admits at most the cap's share, counted over the requests themselves,
@@ -45,7 +49,8 @@
 	return g
 }
 
-// Set changes the cap and the number of requests expected in an interval.
+// Set changes the cap and the number of requests expected in an interval. The rate and
+// the burst together stay within the cap for every window with so many requests.
 func (g *Gate) Set(limit, perInterval float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -57,12 +62,10 @@
 	}
 	allowed := limit * perInterval
 	g.burst = math.Max(1, burstShare*allowed)
-	g.rate = limit * (1 - burstShare)
-	if allowed < 1/burstShare && perInterval > 0 {
-		g.rate = math.Max(0, limit-1/perInterval)
-	}
-	if allowed < 2 {
+	if allowed < fewest {
 		g.rate = limit / 2
+	} else {
+		g.rate = limit - g.burst/perInterval
 	}
 	if math.IsInf(g.tokens, 1) {
 		g.tokens = 0
@@ -70,6 +73,14 @@
 	g.tokens = math.Min(g.tokens, g.burst)
 }
 
+// Spend debits moved work that did not ask the gate, so that the requests that do ask
+// make up for it.
+func (g *Gate) Spend(requests float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tokens -= requests
+}
+
 // Arrive counts one request of the class, wherever it goes.
 func (g *Gate) Arrive() {
 	g.arrivals.Add(1)
--- a/move/stepper.go
+++ b/move/stepper.go
@@ -1,14 +1,18 @@
 package move
 
 import (
+	"math"
 	"time"
 
 	"lovageyard.example/lovageyard"
 )
 
-// priorShare is the part of a class's demand that is taken to be spread evenly, so that
-// a bucket without a measured request still weighs something.
-const priorShare = 0.02
+// overcommit is how much more work a step opens than the cap lets through, so that the
+// gate always finds a request to admit.
+const overcommit = 2
+
+// certainty is how many standard deviations of chance the last step leaves below the cap.
+const certainty = 3
 
 // Demand counts the requests of a class that one entry instance saw of late.
 type Demand struct {
@@ -116,7 +120,7 @@
 	s.gate.Set(s.target.Cap, d.Total)
 	changed := s.addHomes()
 	if s.moving {
-		if now.Sub(s.steppedAt) < s.target.Interval.Std() || !level {
+		if !s.intervalOver(now) || !level {
 			return changed
 		}
 		s.settle()
@@ -125,6 +129,20 @@
 	return s.begin(now, d) || changed
 }
 
+// Due says whether Tick has something to do at a time.
+func (s *Stepper) Due(now time.Time) bool {
+	return !s.moving || s.intervalOver(now)
+}
+
+// Resting says whether no step is under way.
+func (s *Stepper) Resting() bool {
+	return s.adopted && !s.moving
+}
+
+func (s *Stepper) intervalOver(now time.Time) bool {
+	return now.Sub(s.steppedAt) >= s.target.Interval.Std()
+}
+
 // addHomes takes over the placement of home failure domains that the plan has newly got.
 func (s *Stepper) addHomes() bool {
 	added := false
@@ -142,7 +160,7 @@
 	for i := range s.applied.Homes {
 		cells := s.applied.Homes[i].Cells
 		for b := range cells {
-			if cells[b].Limit > cells[b].Settled {
+			if cells[b].Moving {
 				cells[b].settle(ratio)
 			}
 		}
@@ -150,43 +168,71 @@
 	s.moving = false
 }
 
-// begin opens the next step: buckets in a fixed order, until the cap's share is reached.
+// begin opens the next step. A held move begins nothing.
 func (s *Stepper) begin(now time.Time, d Demand) bool {
-	prior := s.prior(d)
-	budget := s.target.Cap * (d.Total + prior*float64(s.cells()))
-	begun := false
+	cells := s.openCells(d)
+	if len(cells) == 0 {
+		s.applied.Step = s.plan.Step
+		return false
+	}
+	if s.plan.Move != nil && s.plan.Move.State == lovageyard.MoveHeld {
+		return false
+	}
+	s.gate.Reset()
+	left := 0.0
+	for _, c := range cells {
+		left += c.left
+	}
+	if left+certainty*math.Sqrt(left) <= s.target.Cap*d.Total {
+		s.finish(cells, left)
+	} else {
+		openSome(cells, overcommit*s.target.Cap*d.Total)
+	}
+	s.moving = true
+	s.steppedAt = now
+	return true
+}
+
+// openCell is a cell that has to move, with the demand that it has left.
+type openCell struct {
+	*Cell
+	left float64
+}
+
+// openCells points all cells at the plan and returns those that have to move.
+func (s *Stepper) openCells(d Demand) []openCell {
+	var cells []openCell
 	for i := range s.applied.Homes {
 		h := &s.applied.Homes[i]
 		for b := range h.Cells {
 			c := &h.Cells[b]
-			if !s.aim(c, h.FailureDomain, b) || budget <= 0 {
-				continue
+			if s.aim(c, h.FailureDomain, b) {
+				cells = append(cells, openCell{Cell: c, left: d.Of(h.FailureDomain, b) * (1 - c.Settled)})
 			}
-			budget -= open(c, d.Of(h.FailureDomain, b)+prior, budget)
-			begun = true
 		}
 	}
-	if begun {
-		s.moving = true
-		s.steppedAt = now
-		s.gate.Reset()
-	}
-	if !s.moving {
-		s.applied.Step = s.plan.Step
-	}
-	return begun
+	return cells
 }
 
-// prior returns the demand that each bucket is taken to have besides what was measured.
-func (s *Stepper) prior(d Demand) float64 {
-	if d.Total == 0 {
-		return 1
+// finish moves the rest at once: it is so little that chance alone can't lift it over
+// the cap. The gate is charged for it.
+func (s *Stepper) finish(cells []openCell, left float64) {
+	for _, c := range cells {
+		*c.Cell = Cell{Site: c.Next, Next: c.Next}
 	}
-	return priorShare * d.Total / float64(s.cells())
+	s.gate.Spend(left)
 }
 
-func (s *Stepper) cells() int {
-	return len(s.applied.Homes) * lovageyard.Buckets
+// openSome opens cells in their order until they hold the wanted work.
+func openSome(cells []openCell, wanted float64) {
+	opened := 0.0
+	for i, c := range cells {
+		if i > 0 && opened >= wanted {
+			return
+		}
+		c.Moving = true
+		opened += c.left
+	}
 }
 
 // aim points a cell at its site in the plan and says whether it has to move.
@@ -201,21 +247,10 @@
 	return c.Next != c.Site
 }
 
-// open raises a cell's limit as far as the budget goes and returns the demand taken.
-func open(c *Cell, demand, budget float64) float64 {
-	rest := demand * (1 - c.Settled)
-	if rest <= budget {
-		c.Limit = 1
-		return rest
-	}
-	c.Limit = c.Settled + budget/demand
-	return budget
-}
-
 func (s *Stepper) anyMoving() bool {
 	for i := range s.applied.Homes {
 		for _, c := range s.applied.Homes[i].Cells {
-			if c.Limit > c.Settled {
+			if c.Moving {
 				return true
 			}
 		}
--- a/operator/data.go
+++ b/operator/data.go
@@ -74,7 +74,7 @@
 	Site        string  `json:"site"`
 	MovingTo    string  `json:"moving-to"`
 	Moved       float64 `json:"moved"`
-	MayMove     float64 `json:"may-move"`
+	Moving      bool    `json:"moving"`
 	PlanStep    int64   `json:"plan-step"`
 	PlannedSite string  `json:"planned-site"`
 	Move        string  `json:"move"`
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -29,7 +29,7 @@
 func FromSteps(steps []instance.Step) []*wire.Step {
 	var out []*wire.Step
 	for _, s := range steps {
-		out = append(out, &wire.Step{Class: s.Class, Begun: s.Begun, Settled: s.Settled})
+		out = append(out, &wire.Step{Class: s.Class, Begun: s.Begun, Settled: s.Settled, Left: float32(s.Left)})
 	}
 	return out
 }
@@ -38,7 +38,7 @@
 func ToSteps(steps []*wire.Step) []instance.Step {
 	var out []instance.Step
 	for _, s := range steps {
-		out = append(out, instance.Step{Class: s.GetClass(), Begun: s.GetBegun(), Settled: s.GetSettled()})
+		out = append(out, instance.Step{Class: s.GetClass(), Begun: s.GetBegun(), Settled: s.GetSettled(), Left: float64(s.GetLeft())})
 	}
 	return out
 }
@@ -97,7 +97,7 @@
 				Site:    position(c.Site),
 				Next:    position(c.Next),
 				Settled: float32(c.Settled),
-				Limit:   float32(c.Limit),
+				Moving:  c.Moving,
 			})
 		}
 		w.Homes = append(w.Homes, home)
@@ -119,7 +119,7 @@
 				Site:    w.Sites[c.GetSite()],
 				Next:    w.Sites[c.GetNext()],
 				Settled: float64(c.GetSettled()),
-				Limit:   float64(c.GetLimit()),
+				Moving:  c.GetMoving(),
 			})
 		}
 		if len(home.Cells) == lovageyard.Buckets {
--- a/placement/input.go
+++ b/placement/input.go
@@ -60,7 +60,9 @@
 	Current lovageyard.ClassPlan
 	// Reached is the plan step that all live entry instances apply in full.
 	Reached int64
-	Epoch   int64
+	// Left is the largest share of work that one of them still has to move.
+	Left  float64
+	Epoch int64
 }
 
 // Output is the result of one round.
--- a/placement/round.go
+++ b/placement/round.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"fmt"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -18,15 +16,14 @@
 	StaleAfter = 30 * time.Second
 	// maxMargin is the share of capacity held back from a site whose measurement is about to be stale.
 	maxMargin = 0.2
-	// lookAhead is the number of steps that the plan may be ahead of the entry instances.
-	lookAhead = 1
 	// gainNeeded is the latency that a voluntary move has to save.
 	gainNeeded = 2 * time.Millisecond
 	// unplaced marks a bucket without a site.
 	unplaced = -1
 )
 
-// Round makes one round of placement for one class.
+// Round makes one round of placement for one class. The plan may run ahead of what the
+// entry instances apply: each of them paces its own work by the cap.
 func Round(in Input) Output {
 	r := newRound(in)
 	if len(r.sites) == 0 {
@@ -37,34 +34,43 @@
 		return r.first()
 	}
 	r.desire()
-	return r.step()
+	return r.conclude()
 }
 
+// round is the state of one round; sites are meant by their position in sites.
 type round struct {
 	in       Input
 	sites    []Site
 	eligible []bool
-	draining []bool
 	room     []float64
-	current  [][]int
-	desired  [][]int
-	order    [][]int
-	held     int
+	// current is the plan in force, from is where its buckets' work may still be, and
+	// desired is the placement that the round arrives at: by home, then by bucket.
+	current [][]int
+	from    [][]int
+	desired [][]int
+	order   [][]int
+	held    int
 }
 
 func newRound(in Input) *round {
 	r := &round{in: in, sites: slices.Clone(in.Sites)}
 	slices.SortFunc(r.sites, func(a, b Site) int { return strings.Compare(a.Name, b.Name) })
 	r.eligible = make([]bool, len(r.sites))
-	r.draining = make([]bool, len(r.sites))
 	r.room = make([]float64, len(r.sites))
 	for i, s := range r.sites {
-		r.draining[i] = r.isDraining(s.Name)
-		r.eligible[i] = !r.draining[i] && s.Alive && r.targets(s.Name)
+		r.eligible[i] = s.Alive && r.targets(s.Name) && !r.isDraining(s.Name)
 	}
 	r.current = make([][]int, len(in.Homes))
+	r.from = make([][]int, len(in.Homes))
+	r.desired = make([][]int, len(in.Homes))
+	r.order = make([][]int, len(in.Homes))
 	for i, h := range in.Homes {
-		r.current[i] = r.positions(h.FailureDomain)
+		r.current[i] = r.positions(h.FailureDomain, in.Current.SiteOf)
+		r.from[i] = slices.Clone(r.current[i])
+		if in.Reached < in.Current.Step {
+			r.markOrigins(i, h.FailureDomain)
+		}
+		r.order[i] = byDemand(h)
 	}
 	return r
 }
@@ -80,15 +86,23 @@
 	return len(sites) == 0 || slices.Contains(sites, site)
 }
 
-// positions returns the current site of each bucket of a home, as positions in r.sites.
-func (r *round) positions(home string) []int {
+// positions returns the site of each bucket of a home, as positions in r.sites.
+func (r *round) positions(home string, siteOf func(home string, bucket int) string) []int {
 	buckets := make([]int, lovageyard.Buckets)
 	for b := range buckets {
-		buckets[b] = r.position(r.in.Current.SiteOf(home, b))
+		buckets[b] = r.position(siteOf(home, b))
 	}
 	return buckets
 }
 
+func (r *round) markOrigins(home int, failureDomain string) {
+	for b, site := range r.positions(failureDomain, r.in.Current.OriginOf) {
+		if site != unplaced {
+			r.from[home][b] = site
+		}
+	}
+}
+
 func (r *round) position(site string) int {
 	position, found := slices.BinarySearchFunc(r.sites, site, func(s Site, name string) int {
 		return strings.Compare(s.Name, name)
@@ -99,7 +113,8 @@
 	return position
 }
 
-// load works out the room of each site: what it may carry, less what it carries.
+// load works out the room of each site: what it may carry, less what it carries. Work
+// that is under way counts at both ends.
 func (r *round) load() {
 	for i, s := range r.sites {
 		r.room[i] = s.Capacity*(1-r.in.Headroom-margin(s.Age)) - s.OtherLoad
@@ -107,15 +122,26 @@
 			r.room[i] = 0
 		}
 	}
-	for i := range r.in.Homes {
-		for b, site := range r.current[i] {
-			if site != unplaced {
-				r.room[site] -= r.in.Homes[i].Buckets[b]
+	for i, h := range r.in.Homes {
+		for b, demand := range h.Buckets {
+			r.take(r.current[i][b], demand)
+			if r.inFlight(i, b) {
+				r.take(r.from[i][b], demand)
 			}
 		}
 	}
 }
 
+func (r *round) take(site int, demand float64) {
+	if site != unplaced {
+		r.room[site] -= demand
+	}
+}
+
+func (r *round) inFlight(home, bucket int) bool {
+	return r.from[home][bucket] != r.current[home][bucket]
+}
+
 // margin returns the share of capacity held back for the age of a measurement.
 func margin(age time.Duration) float64 {
 	if age <= FreshFor {
@@ -147,40 +173,25 @@
 
 // first places every bucket where the least latency and the capacity put it.
 func (r *round) first() Output {
-	r.desired = make([][]int, len(r.in.Homes))
+	if !slices.Contains(r.eligible, true) {
+		return Output{Plan: r.in.Current, Reason: "no eligible site takes work"}
+	}
 	for i, h := range r.in.Homes {
 		ranks := r.ranked(h)
 		r.desired[i] = make([]int, lovageyard.Buckets)
 		for b := range r.desired[i] {
 			r.desired[i][b] = r.initial(h, ranks, b)
 		}
+		r.from[i] = r.desired[i]
 	}
-	if !slices.Contains(r.eligible, true) {
-		return Output{Plan: r.in.Current, Reason: "no eligible site takes work"}
-	}
-	return Output{Plan: r.plan(r.desired, nil), Changed: true, Reason: "first placement"}
+	return Output{Plan: r.plan(nil), Changed: true, Reason: "first placement"}
 }
 
 // initial returns the nearest eligible site with room, or the nearest eligible one;
 // among sites of equal latency the bucket's number decides.
 func (r *round) initial(h Home, ranks []int, bucket int) int {
 	demand := h.Buckets[bucket]
-	best := unplaced
-	var ties []int
-	for _, site := range ranks {
-		if !r.eligible[site] {
-			continue
-		}
-		if best == unplaced {
-			best = site
-		}
-		if r.latency(h, site) == r.latency(h, best) {
-			ties = append(ties, site)
-		}
-	}
-	if len(ties) == 0 {
-		return unplaced
-	}
+	ties := r.nearest(h, ranks)
 	site := ties[bucket%len(ties)]
 	if r.room[site] < demand {
 		if other := r.withRoom(ranks, demand); other != unplaced {
@@ -191,6 +202,21 @@
 	return site
 }
 
+// nearest returns the eligible sites of the least latency.
+func (r *round) nearest(h Home, ranks []int) []int {
+	var ties []int
+	for _, site := range ranks {
+		if !r.eligible[site] {
+			continue
+		}
+		if len(ties) > 0 && r.latency(h, site) != r.latency(h, ties[0]) {
+			break
+		}
+		ties = append(ties, site)
+	}
+	return ties
+}
+
 func (r *round) withRoom(ranks []int, demand float64) int {
 	for _, site := range ranks {
 		if r.gains(site, demand) {
@@ -200,14 +226,11 @@
 	return unplaced
 }
 
-// desire works out the placement that the round would like, without regard to the cap.
+// desire works out the placement that the round arrives at.
 func (r *round) desire() {
-	r.desired = make([][]int, len(r.in.Homes))
-	r.order = make([][]int, len(r.in.Homes))
 	ranks := make([][]int, len(r.in.Homes))
 	for i, h := range r.in.Homes {
 		r.desired[i] = slices.Clone(r.current[i])
-		r.order[i] = byDemand(h)
 		ranks[i] = r.ranked(h)
 	}
 	r.eachBucket(func(i, b int) { r.leave(i, b, ranks[i]) })
@@ -222,6 +245,7 @@
 	}
 }
 
+// byDemand returns the buckets of a home, those of the largest demand first.
 func byDemand(h Home) []int {
 	order := make([]int, lovageyard.Buckets)
 	for b := range order {
@@ -240,13 +264,13 @@
 }
 
 // leave moves a bucket off a site that may not have it or that is over its limit.
+// Work that is under way is turned elsewhere only if its site may not have it at all.
 func (r *round) leave(home, bucket int, ranks []int) {
 	from := r.desired[home][bucket]
-	if from != unplaced && r.eligible[from] && r.room[from] >= 0 {
+	if from != unplaced && r.eligible[from] && (r.room[from] >= 0 || r.inFlight(home, bucket)) {
 		return
 	}
-	demand := r.in.Homes[home].Buckets[bucket]
-	to := r.withRoom(ranks, demand)
+	to := r.withRoom(ranks, r.in.Homes[home].Buckets[bucket])
 	if to == unplaced {
 		r.held++
 		return
@@ -256,207 +280,21 @@
 
 // improve moves a bucket to a nearer site that has room.
 func (r *round) improve(home, bucket int, ranks []int) {
-	h := r.in.Homes[home]
 	from := r.desired[home][bucket]
-	to := r.withRoom(ranks, h.Buckets[bucket])
-	if from == unplaced || to == unplaced || !r.eligible[from] {
+	if from == unplaced || !r.eligible[from] || r.inFlight(home, bucket) {
 		return
 	}
-	if r.latency(h, from)-r.latency(h, to) < gainNeeded {
+	h := r.in.Homes[home]
+	to := r.withRoom(ranks, h.Buckets[bucket])
+	if to == unplaced || r.latency(h, from)-r.latency(h, to) < gainNeeded {
 		return
 	}
 	r.shift(home, bucket, to)
 }
 
+// shift gives a bucket to another site; its present site keeps its load until the work
+// has moved.
 func (r *round) shift(home, bucket, to int) {
-	demand := r.in.Homes[home].Buckets[bucket]
-	if from := r.desired[home][bucket]; from != unplaced {
-		r.room[from] += demand
-	}
-	r.room[to] -= demand
+	r.room[to] -= r.in.Homes[home].Buckets[bucket]
 	r.desired[home][bucket] = to
 }
-
-// step publishes as much of the desired placement as the cap and the pace allow.
-func (r *round) step() Output {
-	open := r.openShare(r.current)
-	if open == 0 {
-		return r.rest()
-	}
-	move := r.move(open)
-	if r.in.Current.Step > r.in.Reached+lookAhead {
-		return r.hold(move, "the entry instances have not settled the last step")
-	}
-	if wait := r.in.Class.Target.Interval.Std() - r.in.Now.Sub(r.in.Current.SteppedAt); r.in.Current.Move != nil && wait > 0 {
-		return Output{Plan: r.in.Current, Reason: "the interval of the last step is not over"}
-	}
-	placed := r.take()
-	move.State = lovageyard.MoveShifting
-	move.Remaining = r.openShare(placed)
-	move.Reason = "step within the cap"
-	return Output{Plan: r.plan(placed, move), Changed: true, Reason: move.Reason}
-}
-
-// rest ends a move that is over.
-func (r *round) rest() Output {
-	if r.held > 0 {
-		move := r.move(r.heldShare())
-		return r.hold(move, r.holdReason())
-	}
-	if r.in.Current.Move == nil {
-		return Output{Plan: r.in.Current, Reason: "nothing has to move"}
-	}
-	if r.in.Current.Step > r.in.Reached {
-		return Output{Plan: r.in.Current, Reason: "the last step has not settled"}
-	}
-	plan := r.in.Current
-	plan.Move = nil
-	plan.Epoch = r.in.Epoch
-	return Output{Plan: plan, Changed: true, Reason: "the move is over"}
-}
-
-func (r *round) holdReason() string {
-	return fmt.Sprintf("%d buckets fit nowhere within headroom; add capacity, restore a site or lower the demand", r.held)
-}
-
-func (r *round) hold(move *lovageyard.Move, reason string) Output {
-	move.State = lovageyard.MoveHeld
-	move.Reason = reason
-	before := r.in.Current.Move
-	if before != nil && before.State == move.State && before.Reason == reason {
-		return Output{Plan: r.in.Current, Reason: reason}
-	}
-	plan := r.in.Current
-	plan.Move = move
-	plan.Epoch = r.in.Epoch
-	return Output{Plan: plan, Changed: true, Reason: reason}
-}
-
-// take returns the current placement with one step of the desired one: in each home
-// the buckets of largest demand whose sum stays within the cap, at least one bucket.
-func (r *round) take() [][]int {
-	placed := make([][]int, len(r.current))
-	for i, h := range r.in.Homes {
-		placed[i] = slices.Clone(r.current[i])
-		weights := weigh(h)
-		budget := r.in.Class.Target.Cap
-		taken := 0
-		for _, b := range r.order[i] {
-			if r.desired[i][b] == r.current[i][b] {
-				continue
-			}
-			if taken > 0 && weights[b] > budget {
-				continue
-			}
-			placed[i][b] = r.desired[i][b]
-			budget -= weights[b]
-			taken++
-		}
-	}
-	return placed
-}
-
-// weigh returns the share of a home's demand that each bucket has.
-func weigh(h Home) [lovageyard.Buckets]float64 {
-	var weights [lovageyard.Buckets]float64
-	total := 0.0
-	for _, d := range h.Buckets {
-		total += d
-	}
-	for b, d := range h.Buckets {
-		if total == 0 {
-			weights[b] = 1.0 / lovageyard.Buckets
-			continue
-		}
-		weights[b] = d / total
-	}
-	return weights
-}
-
-// openShare returns the largest share of any home's demand that is not yet where it should be.
-func (r *round) openShare(placed [][]int) float64 {
-	largest := 0.0
-	for i, h := range r.in.Homes {
-		weights := weigh(h)
-		open := 0.0
-		for b := range placed[i] {
-			if placed[i][b] != r.desired[i][b] {
-				open += max(weights[b], math.SmallestNonzeroFloat64)
-			}
-		}
-		largest = max(largest, open)
-	}
-	return largest
-}
-
-// heldShare returns the share of demand that should leave its site and can't.
-func (r *round) heldShare() float64 {
-	largest := 0.0
-	for i, h := range r.in.Homes {
-		weights := weigh(h)
-		held := 0.0
-		for b, site := range r.desired[i] {
-			if site == unplaced || !r.eligible[site] {
-				held += weights[b]
-			}
-		}
-		largest = max(largest, held)
-	}
-	return largest
-}
-
-// move describes the shift that brings the open share to its place.
-func (r *round) move(open float64) *lovageyard.Move {
-	m := &lovageyard.Move{
-		Class:     r.in.Class.Name,
-		State:     lovageyard.MovePlanned,
-		Remaining: open,
-		StartedAt: r.in.Now,
-		EmptyBy:   r.emptyBy(),
-	}
-	if r.in.Current.Move != nil {
-		m.StartedAt = r.in.Current.Move.StartedAt
-	}
-	steps := math.Ceil(open/r.in.Class.Target.Cap - 1e-9)
-	m.EndsAt = r.in.Now.Add(time.Duration(steps) * r.in.Class.Target.Interval.Std())
-	m.InTime = m.EmptyBy.IsZero() || !m.EndsAt.After(m.EmptyBy)
-	return m
-}
-
-// emptyBy returns the earliest bound of a draining site that still has work of the class.
-func (r *round) emptyBy() time.Time {
-	var earliest time.Time
-	for _, o := range r.in.Orders {
-		if !o.Draining || o.EmptyBy.IsZero() || !r.holdsWork(o.Site) {
-			continue
-		}
-		if earliest.IsZero() || o.EmptyBy.Before(earliest) {
-			earliest = o.EmptyBy
-		}
-	}
-	return earliest
-}
-
-func (r *round) holdsWork(site string) bool {
-	position := r.position(site)
-	return slices.ContainsFunc(r.current, func(buckets []int) bool {
-		return position != unplaced && slices.Contains(buckets, position)
-	})
-}
-
-func (r *round) plan(placed [][]int, move *lovageyard.Move) lovageyard.ClassPlan {
-	p := lovageyard.ClassPlan{
-		Class:     r.in.Class.Name,
-		Epoch:     r.in.Epoch,
-		Step:      r.in.Current.Step + 1,
-		SteppedAt: r.in.Now,
-		Move:      move,
-	}
-	for _, s := range r.sites {
-		p.Sites = append(p.Sites, s.Name)
-	}
-	for i, h := range r.in.Homes {
-		p.Homes = append(p.Homes, lovageyard.HomePlacement{FailureDomain: h.FailureDomain, Buckets: placed[i]})
-	}
-	return p
-}
--- a/plan.go
+++ b/plan.go
@@ -28,6 +28,8 @@
 	FailureDomain string `json:"failure-domain"`
 	// Buckets holds for each bucket a position in ClassPlan.Sites.
 	Buckets []int `json:"buckets"`
+	// From holds, while a move is under way, where each bucket's work may still be.
+	From []int `json:"from,omitempty"`
 }
 
 // MoveState is the state of a shift of work.
@@ -61,20 +63,40 @@
 
 // SiteOf returns the site that the plan gives a bucket of a home failure domain, or "".
 func (p *ClassPlan) SiteOf(home string, bucket int) string {
-	for _, h := range p.Homes {
-		if h.FailureDomain != home {
-			continue
-		}
-		if bucket >= len(h.Buckets) {
-			return ""
-		}
-		position := h.Buckets[bucket]
-		if position < 0 || position >= len(p.Sites) {
-			return ""
+	h := p.home(home)
+	if h == nil {
+		return ""
+	}
+	return p.siteAt(h.Buckets, bucket)
+}
+
+// OriginOf returns the site where a bucket's work may still be, or "" if it has arrived.
+func (p *ClassPlan) OriginOf(home string, bucket int) string {
+	h := p.home(home)
+	if h == nil {
+		return ""
+	}
+	return p.siteAt(h.From, bucket)
+}
+
+func (p *ClassPlan) home(failureDomain string) *HomePlacement {
+	for i := range p.Homes {
+		if p.Homes[i].FailureDomain == failureDomain {
+			return &p.Homes[i]
 		}
-		return p.Sites[position]
 	}
-	return ""
+	return nil
+}
+
+func (p *ClassPlan) siteAt(buckets []int, bucket int) string {
+	if bucket >= len(buckets) {
+		return ""
+	}
+	position := buckets[bucket]
+	if position < 0 || position >= len(p.Sites) {
+		return ""
+	}
+	return p.Sites[position]
 }
 
 // GrantPlan divides the spare capacity of sites among entry instances, ahead of failures.
