Tests of moves, placement, classes, servers and verdicts

Cause: the decisions had no tests. Change: table and property tests, the seed of the properties pinned.

--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,432 @@
+package caller
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"net/netip"
+	"net/textproto"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/goleak"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/backend"
+	"lovageyard.example/lovageyard/block"
+	"lovageyard.example/lovageyard/class"
+	"lovageyard.example/lovageyard/grant"
+	"lovageyard.example/lovageyard/instance"
+	"lovageyard.example/lovageyard/move"
+	"lovageyard.example/lovageyard/route"
+	"lovageyard.example/lovageyard/server"
+	"lovageyard.example/lovageyard/timer"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// rig is a handler in front of backend servers that a test scripts.
+type rig struct {
+	snapshot *route.Snapshot
+	pool     *server.Pool
+	front    *httptest.Server
+	client   *http.Client
+
+	mu        sync.Mutex
+	decisions []lovageyard.Decision
+	leaving   []string
+}
+
+func (r *rig) Snapshot() *route.Snapshot {
+	return r.snapshot
+}
+
+func (r *rig) Record(d lovageyard.Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.decisions = append(r.decisions, d)
+}
+
+func (r *rig) ServerLeaving(_, _, name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = append(r.leaving, name)
+}
+
+func testClass(name, path string, idempotent bool) lovageyard.Class {
+	return lovageyard.Class{
+		Name:       name,
+		Service:    "desk",
+		Match:      []lovageyard.Match{{PathPrefix: path}},
+		Idempotent: idempotent,
+		Deadline:   lovageyard.Duration(5 * time.Second),
+		Target:     lovageyard.Target{Cap: 0.1, Interval: lovageyard.Duration(time.Minute)},
+	}
+}
+
+// newRig starts a front whose backend servers are at the addresses.
+func newRig(t *testing.T, addresses ...string) *rig {
+	r := &rig{pool: server.NewPool(server.Settings{Mode: server.RoundRobin, QueuePerSlot: 1}, 1)}
+	var list []lovageyard.BackendServer
+	for i, address := range addresses {
+		list = append(list, lovageyard.BackendServer{Name: fmt.Sprintf("server-%d", i+1), Address: address, Slots: 4, State: lovageyard.StateLive})
+	}
+	r.pool.SetServers(list)
+	classes := []lovageyard.Class{testClass("charges", "/charges/", false), testClass("lookups", "/lookups/", true)}
+	blocks, err := block.NewTable([]block.Entry{{Prefix: netip.MustParsePrefix("198.51.100.0/24"), FailureDomain: "far"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	near := instance.Member{EntryInstance: lovageyard.EntryInstance{Name: "near-1", FailureDomain: "near", CallerAddress: "near:1", State: lovageyard.StateLive}}
+	far := instance.Member{EntryInstance: lovageyard.EntryInstance{Name: "far-1", FailureDomain: "far", CallerAddress: "far:1", State: lovageyard.StateLive}}
+	r.snapshot = &route.Snapshot{
+		Version:   7,
+		Home:      "near",
+		KeepFor:   5 * time.Second,
+		Classes:   class.NewIndex(classes),
+		Blocks:    blocks,
+		Directory: instance.NewDirectory([]instance.Member{far, near}),
+	}
+	for _, k := range classes {
+		gate := move.NewGate(k.Target.Cap, 100)
+		r.snapshot.Works = append(r.snapshot.Works, route.Work{
+			Class:  k,
+			Gate:   gate,
+			Forced: gate,
+			Budget: server.NewBudget(),
+			Sites:  []route.Site{{Name: "near", Pool: r.pool, Allowance: grant.NewAllowance(0, now), Local: true}},
+		})
+	}
+	client := backend.NewClient()
+	handler := NewHandler(Parts{
+		Source:   r,
+		Watcher:  r,
+		Backend:  client,
+		Timer:    timer.Clock{},
+		Recorder: r,
+		Metrics:  metrics.NewRegistry(),
+		Self:     lovageyard.EntryInstance{Name: "near-1", FailureDomain: "near"},
+	})
+	r.front = httptest.NewServer(handler)
+	r.client = r.front.Client()
+	t.Cleanup(func() {
+		r.client.CloseIdleConnections()
+		r.front.Close()
+		client.Close()
+	})
+	return r
+}
+
+// newBackend starts one scripted backend server and returns its address.
+func newBackend(t *testing.T, f http.HandlerFunc) string {
+	s := httptest.NewServer(f)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(lovageyard.VerdictHeader, string(lovageyard.VerdictNotRun))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func cutInBody(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "half")
+	panic(http.ErrAbortHandler)
+}
+
+func answerOK(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "whole")
+}
+
+func TestForwardVerdicts(t *testing.T) {
+	dead := func() string {
+		l, _ := net.Listen("tcp", "127.0.0.1:0")
+		defer l.Close()
+		return l.Addr().String()
+	}
+	for _, test := range []struct {
+		name string
+		// first is what the server of the first attempt does; nil means that nothing listens.
+		first   http.HandlerFunc
+		path    string
+		status  int
+		verdict lovageyard.Verdict
+		// second is whether the second server gets the request.
+		second int64
+	}{
+		{"lookup, server refuses", refuse, "/lookups/1", 200, "", 1},
+		{"lookup, server dead", nil, "/lookups/1", 200, "", 1},
+		{"lookup, answer cut", cutInBody, "/lookups/1", 200, "", 1},
+		{"charge, server refuses", refuse, "/charges/1", 200, "", 1},
+		{"charge, server dead", nil, "/charges/1", 200, "", 1},
+		{"charge, answer cut", cutInBody, "/charges/1", 502, lovageyard.VerdictMayHaveRun, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var seconds atomic.Int64
+			second := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				seconds.Add(1)
+				answerOK(w, r)
+			})
+			first := dead()
+			if test.first != nil {
+				first = newBackend(t, test.first)
+			}
+			// The first turn of round robin is the second server of the list.
+			r := newRig(t, second, first)
+			response, err := r.client.Post(r.front.URL+test.path, "text/plain", strings.NewReader("body"))
+			c.Assert(err, qt.IsNil)
+			defer response.Body.Close()
+			c.Assert(response.StatusCode, qt.Equals, test.status)
+			c.Assert(response.Header.Get(lovageyard.VerdictHeader), qt.Equals, string(test.verdict))
+			c.Assert(seconds.Load(), qt.Equals, test.second)
+			body, err := io.ReadAll(response.Body)
+			c.Assert(err, qt.IsNil)
+			if test.status == http.StatusOK {
+				c.Assert(string(body), qt.Equals, "whole")
+				return
+			}
+			var failure Failure
+			c.Assert(json.Unmarshal(body, &failure), qt.IsNil)
+			c.Assert(failure.Verdict, qt.Equals, test.verdict)
+		})
+	}
+}
+
+func TestForwardRefusals(t *testing.T) {
+	r := newRig(t)
+	for _, test := range []struct {
+		name     string
+		path     string
+		deadline string
+		status   int
+	}{
+		{"no class", "/unknown", "", 404},
+		{"bad deadline", "/lookups/1", "soon", 400},
+		{"deadline of zero", "/lookups/1", "0", 400},
+		{"no server", "/lookups/1", "", 503},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			request, err := http.NewRequest(http.MethodGet, r.front.URL+test.path, nil)
+			c.Assert(err, qt.IsNil)
+			request.Header.Set(lovageyard.DeadlineHeader, test.deadline)
+			response, err := r.client.Do(request)
+			c.Assert(err, qt.IsNil)
+			response.Body.Close()
+			c.Assert(response.StatusCode, qt.Equals, test.status)
+			c.Assert(response.Header.Get(lovageyard.VerdictHeader), qt.Equals, string(lovageyard.VerdictNotRun))
+		})
+	}
+}
+
+func TestForwardDeadline(t *testing.T) {
+	c := qt.New(t)
+	seen := make(chan string, 1)
+	r := newRig(t, newBackend(t, func(_ http.ResponseWriter, r *http.Request) {
+		seen <- r.Header.Get(lovageyard.DeadlineHeader)
+		<-r.Context().Done()
+	}))
+	request, err := http.NewRequest(http.MethodPost, r.front.URL+"/charges/1", strings.NewReader("x"))
+	c.Assert(err, qt.IsNil)
+	request.Header.Set(lovageyard.DeadlineHeader, "150")
+	response, err := r.client.Do(request)
+	c.Assert(err, qt.IsNil)
+	response.Body.Close()
+	c.Assert(response.StatusCode, qt.Equals, http.StatusGatewayTimeout)
+	c.Assert(response.Header.Get(lovageyard.VerdictHeader), qt.Equals, string(lovageyard.VerdictMayHaveRun))
+	c.Assert(<-seen, qt.Matches, `1[0-5]?\d?`)
+}
+
+// TestForwardHTTP checks what callers expect of HTTP, through the front.
+func TestForwardHTTP(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		switch r.URL.Path {
+		case "/lookups/echo":
+			for _, name := range []string{"Connection", "Keep-Alive", "Expect", "X-Hop", "Te"} {
+				if r.Header.Get(name) != "" {
+					w.Header().Add("X-Leaked", name)
+				}
+			}
+			w.Header().Set("X-Host", r.Host)
+			w.Header().Set("X-Query", r.URL.RawQuery)
+			w.Header().Set("X-Trailer", r.Trailer.Get("X-Sum"))
+			_, _ = w.Write(body)
+		case "/lookups/trailer":
+			w.Header().Set("Trailer", "X-After")
+			_, _ = io.WriteString(w, "body")
+			w.Header().Set("X-After", "sum")
+		case "/lookups/hints":
+			w.Header().Set("Link", "</style.css>")
+			w.WriteHeader(http.StatusEarlyHints)
+			answerOK(w, r)
+		case "/lookups/empty":
+			w.WriteHeader(http.StatusNoContent)
+		case "/lookups/head":
+			w.Header().Set("Content-Length", "1234")
+		}
+	}))
+	do := func(method, path string, body io.Reader, change func(*http.Request)) (*http.Response, string) {
+		request, err := http.NewRequest(method, r.front.URL+path, body)
+		c.Assert(err, qt.IsNil)
+		if change != nil {
+			change(request)
+		}
+		response, err := r.client.Do(request)
+		c.Assert(err, qt.IsNil)
+		defer response.Body.Close()
+		data, err := io.ReadAll(response.Body)
+		c.Assert(err, qt.IsNil)
+		return response, string(data)
+	}
+
+	response, body := do(http.MethodPost, "/lookups/echo?a=1;b", io.MultiReader(strings.NewReader("chunked")), func(r *http.Request) {
+		r.Host = "desk.example"
+		r.Header.Set("Connection", "X-Hop")
+		r.Header.Set("X-Hop", "1")
+		r.Header.Set("Te", "trailers")
+		r.Header.Set("Expect", "100-continue")
+		r.Trailer = http.Header{"X-Sum": {"7"}}
+	})
+	c.Assert(body, qt.Equals, "chunked")
+	c.Assert(response.Header["X-Leaked"], qt.IsNil)
+	c.Assert(response.Header.Get("X-Host"), qt.Equals, "desk.example")
+	c.Assert(response.Header.Get("X-Query"), qt.Equals, "a=1;b")
+	c.Assert(response.Header.Get("X-Trailer"), qt.Equals, "7")
+	c.Assert(response.Header.Get(lovageyard.SiteHeader), qt.Equals, "near")
+
+	response, body = do(http.MethodGet, "/lookups/trailer", nil, nil)
+	c.Assert(body, qt.Equals, "body")
+	c.Assert(response.Trailer.Get("X-After"), qt.Equals, "sum")
+
+	response, body = do(http.MethodHead, "/lookups/head", nil, nil)
+	c.Assert(body, qt.Equals, "")
+	c.Assert(response.ContentLength, qt.Equals, int64(1234))
+
+	response, _ = do(http.MethodGet, "/lookups/empty", nil, nil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusNoContent)
+
+	var hints []string
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+		hints = append(hints, fmt.Sprint(code, h.Get("Link")))
+		return nil
+	}}
+	_, body = do(http.MethodGet, "/lookups/hints", nil, func(r *http.Request) {
+		*r = *r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	})
+	c.Assert(body, qt.Equals, "whole")
+	c.Assert(hints, qt.DeepEquals, []string{"103</style.css>"})
+}
+
+func TestForwardLongAnswers(t *testing.T) {
+	const size = 4 << 20
+	for _, test := range []struct {
+		name string
+		cut  bool
+	}{{"whole", false}, {"cut", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t, newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write(make([]byte, size))
+				if test.cut {
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			response, err := r.client.Get(r.front.URL + "/lookups/long")
+			c.Assert(err, qt.IsNil)
+			defer response.Body.Close()
+			n, err := io.Copy(io.Discard, response.Body)
+			if test.cut {
+				c.Assert(err, qt.IsNotNil, qt.Commentf("an answer that breaks off must not end as if it were whole"))
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			c.Assert(n, qt.Equals, int64(size))
+		})
+	}
+}
+
+func TestForwardPassesCancellationOn(t *testing.T) {
+	c := qt.New(t)
+	cancelled := make(chan struct{})
+	r := newRig(t, newBackend(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(cancelled)
+	}))
+	conn, err := net.Dial("tcp", r.front.Listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	_, err = io.WriteString(conn, "GET /lookups/1 HTTP/1.1\r\nHost: front\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	for r.pool.Census(time.Now()).InFlight == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	conn.Close()
+	<-cancelled
+}
+
+func TestLeavingServerIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(lovageyard.LoadHeader, `{"slots":4,"leaving":true}`)
+		answerOK(w, r)
+	}))
+	response, err := r.client.Get(r.front.URL + "/lookups/1")
+	c.Assert(err, qt.IsNil)
+	response.Body.Close()
+	c.Assert(response.Header.Get(lovageyard.LoadHeader), qt.Equals, "")
+	c.Assert(r.leaving, qt.DeepEquals, []string{"server-1"})
+	c.Assert(r.pool.TakesWork(), qt.IsFalse)
+}
+
+func TestLookUp(t *testing.T) {
+	r := newRig(t)
+	for _, test := range []struct {
+		query  string
+		status int
+		first  string
+	}{
+		{"class=charges", 200, "near-1"},
+		{"class=charges&client=198.51.100.9", 200, "far-1"},
+		{"class=charges&client=203.0.113.1", 200, "near-1"},
+		{"class=charges&client=2001:db8::1", 200, "near-1"},
+		{"class=none", 404, ""},
+		{"", 400, ""},
+		{"class=charges&client=someone", 400, ""},
+		{"class=charges&client=fe80::1%25eth0", 400, ""},
+		{"class=%zz", 400, ""},
+	} {
+		t.Run(test.query, func(t *testing.T) {
+			c := qt.New(t)
+			response, err := r.client.Get(r.front.URL + class.LookUpPath + "?" + test.query)
+			c.Assert(err, qt.IsNil)
+			defer response.Body.Close()
+			c.Assert(response.StatusCode, qt.Equals, test.status)
+			if test.status != http.StatusOK {
+				c.Assert(response.Header.Get(lovageyard.VerdictHeader), qt.Equals, string(lovageyard.VerdictNotRun))
+				return
+			}
+			var answer LookUp
+			c.Assert(json.NewDecoder(bufio.NewReader(response.Body)).Decode(&answer), qt.IsNil)
+			c.Assert(answer.Version, qt.Equals, int64(7))
+			c.Assert(answer.KeepForMs, qt.Equals, int64(5000))
+			c.Assert(answer.Instances, qt.HasLen, 2)
+			c.Assert(answer.Instances[0].Instance, qt.Equals, test.first)
+		})
+	}
+}
--- a/control/pools.go
+++ b/control/pools.go
@@ -12,9 +12,6 @@
 	"lovageyard.example/lovageyard/server"
 )
 
-// markFor is how long a mark on a server is passed on to peers.
-const markFor = time.Minute
-
 type poolKey struct {
 	service string
 	site    string
@@ -63,6 +60,20 @@
 			p.SetServers(nil)
 		}
 	}
+	c.dropMarks()
+}
+
+// dropMarks forgets the marks on servers that are on the list no more.
+func (c *Control) dropMarks() {
+	for k := range c.marks {
+		p := c.pools[k.poolKey]
+		listed := p != nil && slices.ContainsFunc(p.servers, func(b lovageyard.BackendServer) bool {
+			return b.Name == k.server
+		})
+		if !listed {
+			delete(c.marks, k)
+		}
+	}
 }
 
 func (c *Control) setPool(k poolKey, servers []lovageyard.BackendServer, now time.Time) {
--- /dev/null
+++ b/integration/doc.go
@@ -0,0 +1,2 @@
+// Package integration tests whole deployments: real processes of all programs, built once.
+package integration
--- a/move/gate.go
+++ b/move/gate.go
@@ -6,8 +6,9 @@
 	"sync/atomic"
 )
 
-// burstShare is the part of an interval's moved work that a Gate may admit at once.
-const burstShare = 0.05
+// burstFactor times the square root of an interval's moved work is what a Gate may admit
+// at once: enough to ride out the chance in arrivals, little against the cap.
+const burstFactor = 0.5
 
 // fewest is the number of moved requests in an interval below which the gate halves its
 // rate, as a burst of one request would otherwise use up the cap.
@@ -61,7 +62,7 @@
 		return
 	}
 	allowed := limit * perInterval
-	g.burst = math.Max(1, burstShare*allowed)
+	g.burst = math.Max(1, burstFactor*math.Sqrt(allowed))
 	if allowed < fewest {
 		g.rate = limit / 2
 	} else {
--- /dev/null
+++ b/move/main_test.go
@@ -0,0 +1,18 @@
+package move
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain pins the seed, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/server/pool.go
+++ b/server/pool.go
@@ -52,6 +52,7 @@
 	next     int
 	mean     time.Duration
 	answers  uint64
+	listed   bool
 }
 
 // NewPool returns a pool without servers.
@@ -69,16 +70,22 @@
 	p.settings.Sharers = max(1, n)
 }
 
-// SetServers takes in the list of servers: new ones begin cold, and ones that are no
-// longer listed take no new work.
+// SetServers takes in the list of servers: ones that join a pool begin cold, and ones
+// that are no longer listed take no new work. Those of the first list are taken as ready,
+// as it is this instance that is new, not they.
 func (p *Pool) SetServers(servers []lovageyard.BackendServer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	first := !p.listed
+	p.listed = true
 	var members []*member
 	for _, b := range servers {
 		m := p.find(b.Name)
 		if m == nil || m.Address != b.Address {
 			m = newMember(b)
+			if first {
+				m.fire(eventWarm)
+			}
 		}
 		m.BackendServer = b
 		if b.State != lovageyard.StateLive {
--- /dev/null
+++ b/server/pool_test.go
@@ -0,0 +1,206 @@
+package server
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
+)
+
+var testStart = time.Unix(1000, 0)
+
+func servers(count, slots int) []lovageyard.BackendServer {
+	var list []lovageyard.BackendServer
+	for n := range count {
+		list = append(list, lovageyard.BackendServer{
+			Name:  fmt.Sprintf("server-%d", n+1),
+			Slots: slots,
+			State: lovageyard.StateLive,
+		})
+	}
+	return list
+}
+
+func newTestPool(mode Mode, count, slots, sharers int) *Pool {
+	p := NewPool(Settings{Mode: mode, QueuePerSlot: 1, Sharers: sharers}, 1)
+	p.SetServers(servers(count, slots))
+	return p
+}
+
+func ask(at time.Time, deadline time.Duration, importance int) Request {
+	return Request{Now: at, Deadline: at.Add(deadline), Importance: importance}
+}
+
+func answered(at time.Time, took time.Duration) lovageyard.Answer {
+	return lovageyard.Answer{At: at, Duration: took}
+}
+
+func TestPoolFillsSlotsThenQueuesThenRefuses(t *testing.T) {
+	for _, mode := range []Mode{Shared, Split, LeastInFlight} {
+		t.Run(string(mode), func(t *testing.T) {
+			c := qt.New(t)
+			p := newTestPool(mode, 2, 3, 1)
+			var sent []Result
+			for range 6 {
+				r, w := p.Acquire(ask(testStart, time.Minute, 5))
+				c.Assert(w, qt.IsNil)
+				c.Assert(r.Err == nil, qt.IsTrue)
+				sent = append(sent, r)
+			}
+			for range 6 {
+				_, w := p.Acquire(ask(testStart, time.Minute, 5))
+				c.Assert(w, qt.IsNotNil)
+			}
+			r, w := p.Acquire(ask(testStart, time.Minute, 5))
+			c.Assert(w, qt.IsNil)
+			c.Assert(r.Err.Verdict, qt.Equals, lovageyard.VerdictNotRun)
+			c.Assert(p.Census(testStart).InFlight, qt.Equals, 6)
+			p.Release(sent[0], answered(testStart, time.Millisecond))
+			c.Assert(p.Census(testStart).InFlight, qt.Equals, 6)
+			c.Assert(p.Census(testStart).Queued, qt.Equals, 5)
+		})
+	}
+}
+
+func TestPoolServesEarliestDeadlineFirst(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPool(Shared, 1, 1, 1)
+	first, _ := p.Acquire(ask(testStart, time.Minute, 5))
+	_, late := p.Acquire(ask(testStart, 50*time.Second, 5))
+	c.Assert(late, qt.IsNotNil)
+	p.settings.QueuePerSlot = 2
+	_, early := p.Acquire(ask(testStart, 10*time.Second, 5))
+	c.Assert(early, qt.IsNotNil)
+	p.Release(first, answered(testStart, time.Millisecond))
+	c.Assert(len(early.Result()), qt.Equals, 1)
+	c.Assert(len(late.Result()), qt.Equals, 0)
+	c.Assert(p.Cancel(late), qt.IsTrue)
+	c.Assert(p.Cancel(early), qt.IsFalse)
+}
+
+func TestPoolRefusesTheLeastImportantFirst(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPool(Shared, 1, 1, 1)
+	p.Acquire(ask(testStart, time.Minute, 5))
+	_, statement := p.Acquire(ask(testStart, time.Minute, 2))
+	_, charge := p.Acquire(ask(testStart, time.Minute, 9))
+	c.Assert(charge, qt.IsNotNil)
+	r := <-statement.Result()
+	c.Assert(r.Err.Verdict, qt.Equals, lovageyard.VerdictNotRun)
+}
+
+func TestPoolRefusesAtOnceWhatCantBeAnsweredInTime(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPool(Shared, 1, 1, 1)
+	r, _ := p.Acquire(ask(testStart, time.Minute, 5))
+	p.Release(r, answered(testStart, 100*time.Millisecond))
+	p.Acquire(ask(testStart, time.Minute, 5))
+	r, w := p.Acquire(ask(testStart, 150*time.Millisecond, 5))
+	c.Assert(w, qt.IsNil)
+	c.Assert(r.Err, qt.ErrorMatches, "the deadline can't be met")
+	c.Assert(r.RetryAfter > 0, qt.IsTrue)
+	_, w = p.Acquire(ask(testStart, 250*time.Millisecond, 5))
+	c.Assert(w, qt.IsNotNil)
+	p.Expire(testStart.Add(249 * time.Millisecond))
+	c.Assert((<-w.Result()).Err.Verdict, qt.Equals, lovageyard.VerdictNotRun)
+}
+
+func TestPoolSharesSlots(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPool(Shared, 1, 8, 2)
+	// The server reports that others hold all but one of its slots.
+	p.Heard("server-1", lovageyard.LoadReport{Slots: 8, InFlight: 7}, testStart)
+	sent := 0
+	for range 8 {
+		if _, w := p.Acquire(ask(testStart, time.Minute, 5)); w == nil {
+			sent++
+		}
+	}
+	c.Assert(sent, qt.Equals, 4, qt.Commentf("the even share is always free to use, no more while others hold the rest"))
+	later := testStart.Add(maxReportAge)
+	p.Expire(later)
+	c.Assert(p.Census(later).InFlight, qt.Equals, 8, qt.Commentf("an old report is not believed"))
+}
+
+func TestPoolStates(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(p *Pool)
+		takers int
+	}{
+		{"listed", func(*Pool) {}, 2},
+		{"suspect", func(p *Pool) { p.Suspect("server-1") }, 1},
+		{"suspect that answers a probe", func(p *Pool) {
+			p.Suspect("server-1")
+			p.Heard("server-1", lovageyard.LoadReport{Slots: 2}, testStart)
+		}, 2},
+		{"marked as leaving", func(p *Pool) { p.Mark("server-1", lovageyard.StateLeaving) }, 1},
+		{"leaving and suspect", func(p *Pool) {
+			p.Mark("server-1", lovageyard.StateLeaving)
+			p.Suspect("server-1")
+			p.Heard("server-1", lovageyard.LoadReport{Slots: 2}, testStart)
+		}, 1},
+		{"back again", func(p *Pool) {
+			p.Mark("server-1", lovageyard.StateLeaving)
+			p.Mark("server-1", lovageyard.StateLive)
+		}, 2},
+		{"says so itself", func(p *Pool) {
+			p.Heard("server-1", lovageyard.LoadReport{Leaving: true}, testStart)
+		}, 1},
+		{"unlisted", func(p *Pool) { p.SetServers(servers(1, 2)) }, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newTestPool(Shared, 2, 2, 1)
+			test.change(p)
+			c.Assert(p.Census(testStart).Takers, qt.Equals, test.takers)
+		})
+	}
+}
+
+func TestPoolRampsUpServersThatJoin(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPool(Shared, 1, 8, 1)
+	p.SetServers(servers(2, 8))
+	joined := p.find("server-2")
+	c.Assert(joined.state, qt.Equals, stateCold)
+	c.Assert(joined.limit(), qt.Equals, 1)
+	for range warmAnswers {
+		joined.learn(answered(testStart, time.Millisecond))
+	}
+	c.Assert(joined.state, qt.Equals, stateReady)
+	c.Assert(joined.limit(), qt.Equals, 8)
+}
+
+func TestPoolAvoidsTheServerThatFailed(t *testing.T) {
+	for _, mode := range Modes() {
+		t.Run(string(mode), func(t *testing.T) {
+			c := qt.New(t)
+			p := newTestPool(mode, 2, 4, 1)
+			r := ask(testStart, time.Minute, 5)
+			r.Avoid = "server-1"
+			for range 3 {
+				result, _ := p.Acquire(r)
+				c.Assert(result.Server.Name, qt.Equals, "server-2")
+			}
+		})
+	}
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	c := qt.New(t)
+	b := NewBudget()
+	const requests = 10000
+	retries := 0
+	for range requests {
+		b.Earn()
+		for b.Spend() {
+			retries++
+		}
+	}
+	c.Assert(retries <= requests/10+retryBurst, qt.IsTrue, qt.Commentf("%d retries", retries))
+	c.Assert(retries >= requests/11, qt.IsTrue, qt.Commentf("%d retries", retries))
+}
