--- a/caller/answer.go
+++ b/caller/answer.go
@@ -5,6 +5,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"net/textproto"
 	"sync"
 	"time"
 
@@ -98,6 +99,19 @@
 	return err == nil && kind == "text/event-stream"
 }
 
+// passHint passes an early hint on; other interim answers concern one connection only.
+func (x *exchange) passHint(code int, header textproto.MIMEHeader) error {
+	if code != http.StatusEarlyHints {
+		return nil
+	}
+	copyHeader(x.writer.Header(), endToEnd(http.Header(header)))
+	x.writer.WriteHeader(code)
+	for name := range header {
+		x.writer.Header().Del(name)
+	}
+	return nil
+}
+
 func (x *exchange) head(response *http.Response) {
 	header := x.writer.Header()
 	closing := header.Get("Connection")
--- a/caller/body.go
+++ b/caller/body.go
@@ -42,7 +42,7 @@
 // either would let the transport send the request again by itself.
 func (b *requestBody) attach(out *http.Request, length int64, replayable bool) {
 	out.GetBody = nil
-	if b.empty && replayable {
+	if b.empty && replayable && len(out.Trailer) == 0 {
 		out.Body = http.NoBody
 		out.ContentLength = 0
 		return
@@ -51,6 +51,10 @@
 	if b.whole() {
 		out.ContentLength = int64(len(b.kept))
 	}
+	if len(out.Trailer) > 0 {
+		// Trailers follow a chunked body only.
+		out.ContentLength = -1
+	}
 	reader := io.Reader(bytes.NewReader(b.kept))
 	if b.rest != nil {
 		reader = io.MultiReader(reader, b.rest)
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strconv"
 	"time"
@@ -183,6 +184,7 @@
 	ctx, cancel := x.attemptContext()
 	defer cancel()
 	started := x.handler.timer.Now()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: x.passHint})
 	response, err := x.handler.backend.Send(x.outgoing(ctx), x.slot.Server)
 	if err != nil {
 		x.release(started, lovageyard.Answer{Failed: true})
