--- a/block/block.go
+++ b/block/block.go
@@ -90,6 +90,9 @@
 
 // Find returns the place of a client; it allocates nothing.
 func (t *Table) Find(client netip.Addr) Place {
+	if !client.IsValid() {
+		return Place{}
+	}
 	client = client.Unmap()
 	position, found := slices.BinarySearchFunc(t.starts, client, netip.Addr.Compare)
 	if !found {
--- /dev/null
+++ b/configuration/state_test.go
@@ -0,0 +1,70 @@
+package configuration
+
+import (
+	"encoding/json"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
+)
+
+func classRow(name string, version int64, deleted bool) lovageyard.Row {
+	value, err := json.Marshal(lovageyard.Class{Name: name})
+	if err != nil {
+		panic(err)
+	}
+	return lovageyard.Row{Table: lovageyard.TableClasses, Key: name, Version: version, Value: value, Deleted: deleted}
+}
+
+func TestApply(t *testing.T) {
+	start := lovageyard.Changes{To: 5, Rows: []lovageyard.Row{classRow("a", 3, false), classRow("b", 5, false)}}
+	for _, test := range []struct {
+		name     string
+		changes  lovageyard.Changes
+		advanced bool
+		gap      bool
+		version  int64
+		classes  int
+	}{
+		{"next", lovageyard.Changes{After: 5, To: 6, Rows: []lovageyard.Row{classRow("c", 6, false)}}, true, false, 6, 3},
+		{"overlapping", lovageyard.Changes{After: 2, To: 6, Rows: []lovageyard.Row{classRow("a", 3, false), classRow("c", 6, false)}}, true, false, 6, 3},
+		{"deleted", lovageyard.Changes{After: 5, To: 7, Rows: []lovageyard.Row{classRow("a", 7, true)}}, true, false, 7, 1},
+		{"repeated", start, false, false, 5, 2},
+		{"older", lovageyard.Changes{After: 0, To: 4, Rows: []lovageyard.Row{classRow("z", 4, false)}}, false, false, 5, 2},
+		{"gap", lovageyard.Changes{After: 6, To: 9, Rows: []lovageyard.Row{classRow("z", 9, false)}}, false, true, 5, 2},
+		{"an older row within newer changes", lovageyard.Changes{After: 1, To: 6, Rows: []lovageyard.Row{classRow("b", 2, true)}}, true, false, 6, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := NewState()
+			_, err := s.Apply(start)
+			c.Assert(err, qt.IsNil)
+			advanced, err := s.Apply(test.changes)
+			c.Assert(advanced, qt.Equals, test.advanced)
+			c.Assert(err != nil, qt.Equals, test.gap)
+			c.Assert(s.Version(), qt.Equals, test.version)
+			c.Assert(s.Classes(), qt.HasLen, test.classes)
+		})
+	}
+}
+
+// TestSinceFillsAnyGap passes the changes on from copy to copy, from any version.
+func TestSinceFillsAnyGap(t *testing.T) {
+	c := qt.New(t)
+	source := NewState()
+	for v := int64(1); v <= 20; v++ {
+		row := classRow(string(rune('a'+v%7)), v, v%5 == 0)
+		_, err := source.Apply(lovageyard.Changes{After: v - 1, To: v, Rows: []lovageyard.Row{row}})
+		c.Assert(err, qt.IsNil)
+	}
+	for at := int64(0); at <= 20; at++ {
+		copied := NewState()
+		_, err := copied.Apply(lovageyard.Changes{To: at, Rows: source.Since(0).Rows})
+		c.Assert(err, qt.IsNil)
+		_, err = copied.Apply(source.Since(at))
+		c.Assert(err, qt.IsNil)
+		c.Assert(copied.Classes(), qt.DeepEquals, source.Classes())
+		c.Assert(copied.Version(), qt.Equals, int64(20))
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -98,6 +98,9 @@
 	due       map[string]time.Time
 	random    *rand.Rand
 	dirty     bool
+	// tickedAt and steppedAt are the times of the last ticks that were worked off.
+	tickedAt  time.Time
+	steppedAt time.Time
 }
 
 // message is a typed message to the loop.
@@ -163,6 +166,7 @@
 			c.tick(now)
 		case now := <-steps.C():
 			c.stepWorks(now)
+			c.steppedAt = now
 		case m := <-c.inbox:
 			m.apply(c)
 		case <-c.context.Done():
@@ -219,6 +223,7 @@
 }
 
 func (c *Control) tick(now time.Time) {
+	c.tickedAt = now
 	c.self.Heartbeat++
 	c.self.Version = c.config.Version()
 	c.self.Steps = c.steps()
--- /dev/null
+++ b/instance/instance_test.go
@@ -0,0 +1,174 @@
+package instance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
+)
+
+var testStart = time.Unix(1000, 0)
+
+func member(name, domain string, life, heartbeat int64) Member {
+	return Member{
+		EntryInstance: lovageyard.EntryInstance{Name: name, FailureDomain: domain, Region: domain[:1], Life: life, State: lovageyard.StateLive},
+		Heartbeat:     heartbeat,
+	}
+}
+
+func names(members []Member) []string {
+	list := []string{}
+	for _, m := range members {
+		list = append(list, m.Name)
+	}
+	return list
+}
+
+func TestTableJudges(t *testing.T) {
+	leaving := func(m Member) Member {
+		m.State = lovageyard.StateLeaving
+		return m
+	}
+	listed := func(state lovageyard.InstanceState, life int64) []lovageyard.EntryInstance {
+		i := member("peer", "a1", life, 0).EntryInstance
+		i.State = state
+		return []lovageyard.EntryInstance{i}
+	}
+	for _, test := range []struct {
+		name  string
+		do    func(table *Table)
+		after time.Duration
+		live  bool
+	}{
+		{"only listed", func(x *Table) { x.List(listed(lovageyard.StateLive, 1), testStart) }, time.Second, true},
+		{"listed, never heard", func(x *Table) { x.List(listed(lovageyard.StateLive, 1), testStart) }, SuspectAfter, false},
+		{"heard", func(x *Table) { x.Hear(member("peer", "a1", 1, 1), testStart) }, time.Second, true},
+		{"silent although listed", func(x *Table) {
+			x.Hear(member("peer", "a1", 1, 1), testStart)
+			x.List(listed(lovageyard.StateLive, 1), testStart)
+		}, SuspectAfter, false},
+		{"silent elsewhere", func(x *Table) { x.Hear(member("peer", "b1", 1, 1), testStart) }, SuspectAfter, true},
+		{"long silent elsewhere", func(x *Table) { x.Hear(member("peer", "b1", 1, 1), testStart) }, RemoteSuspectAfter, false},
+		{"absent from the list", func(x *Table) {
+			x.Hear(member("peer", "a1", 1, 1), testStart)
+			x.List(nil, testStart)
+		}, time.Second, true},
+		{"says that it leaves", func(x *Table) {
+			x.Hear(member("peer", "a1", 1, 1), testStart)
+			x.Hear(leaving(member("peer", "a1", 1, 2)), testStart)
+		}, 0, false},
+		{"listed as leaving", func(x *Table) {
+			x.Hear(member("peer", "a1", 1, 1), testStart)
+			x.List(listed(lovageyard.StateLeaving, 1), testStart)
+		}, 0, false},
+		{"an earlier life listed as leaving", func(x *Table) {
+			x.Hear(member("peer", "a1", 2, 1), testStart)
+			x.List(listed(lovageyard.StateLeaving, 1), testStart)
+		}, 0, true},
+		{"new life after leaving", func(x *Table) {
+			x.Hear(leaving(member("peer", "a1", 1, 9)), testStart)
+			x.Hear(member("peer", "a1", 2, 1), testStart)
+		}, 0, true},
+		{"word of an old life", func(x *Table) {
+			x.Hear(member("peer", "a1", 2, 1), testStart)
+			x.Hear(leaving(member("peer", "a1", 1, 9)), testStart)
+		}, 0, true},
+		{"an old heartbeat repeated", func(x *Table) {
+			x.Hear(member("peer", "a1", 1, 5), testStart)
+			x.Hear(member("peer", "a1", 1, 4), testStart.Add(3*time.Second))
+		}, SuspectAfter, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			table := NewTable(member("self", "a1", 1, 0), testStart)
+			test.do(table)
+			table.Tick(testStart.Add(test.after))
+			want := []string{"self"}
+			if test.live {
+				want = []string{"peer", "self"}
+			}
+			c.Assert(names(table.Live()), qt.DeepEquals, want)
+		})
+	}
+}
+
+func TestTableForgets(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(member("self", "a1", 1, 0), testStart)
+	table.Hear(member("peer", "a1", 1, 1), testStart)
+	for s := range 300 {
+		table.Tick(testStart.Add(time.Duration(s) * time.Second))
+	}
+	c.Assert(table.entries, qt.HasLen, 1)
+}
+
+func fleet(domains, perDomain int) []Member {
+	var list []Member
+	for d := range domains {
+		for n := range perDomain {
+			m := member(fmt.Sprintf("entry-%d-%d", d, n), fmt.Sprintf("domain-%02d", d), 1, 1)
+			m.Region = fmt.Sprintf("region-%d", d/3)
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func TestRank(t *testing.T) {
+	c := qt.New(t)
+	d := NewDirectory(fleet(6, 2))
+	firsts := make(map[string]int)
+	for block := range uint64(1000) {
+		r := d.Rank("domain-01", block*7919)
+		c.Assert(r.Count, qt.Equals, MaxRanks)
+		seen := make(map[int]bool)
+		for _, p := range r.Positions {
+			seen[p] = true
+		}
+		c.Assert(seen, qt.HasLen, MaxRanks)
+		c.Assert(d.Instance(r.Positions[0]).FailureDomain, qt.Equals, "domain-01")
+		c.Assert(d.Instance(r.Positions[1]).FailureDomain, qt.Equals, "domain-01")
+		c.Assert(d.Instance(r.Positions[2]).Region, qt.Equals, "region-0")
+		firsts[d.Instance(r.Positions[0]).Name]++
+	}
+	c.Assert(firsts, qt.HasLen, 2)
+	for name, n := range firsts {
+		c.Assert(n > 400, qt.IsTrue, qt.Commentf("%s is first %d times", name, n))
+	}
+	c.Assert(d.Rank("unknown", 1).Count, qt.Equals, MaxRanks)
+	c.Assert(NewDirectory(nil).Rank("any", 1).Count, qt.Equals, 0)
+	c.Assert(testing.AllocsPerRun(100, func() { d.Rank("domain-01", 5) }), qt.Equals, 0.0)
+}
+
+// TestRankMovesFewBlocks checks that the loss of an instance moves only its own blocks.
+func TestRankMovesFewBlocks(t *testing.T) {
+	c := qt.New(t)
+	all := fleet(1, 8)
+	before := NewDirectory(all)
+	after := NewDirectory(all[1:])
+	for block := range uint64(1000) {
+		was := before.Instance(before.Rank("domain-00", block).Positions[0]).Name
+		is := after.Instance(after.Rank("domain-00", block).Positions[0]).Name
+		if was != all[0].Name {
+			c.Assert(is, qt.Equals, was)
+		}
+	}
+}
+
+func TestChooseRelays(t *testing.T) {
+	c := qt.New(t)
+	all := fleet(2, 5)
+	relays := ChooseRelays(all, "domain-00")
+	c.Assert(relays, qt.HasLen, Relays)
+	var rest []Member
+	for _, m := range all {
+		if m.Name != relays[0] {
+			rest = append(rest, m)
+		}
+	}
+	c.Assert(ChooseRelays(rest, "domain-00")[0], qt.Equals, relays[1])
+	c.Assert(ChooseRelays(nil, "domain-00"), qt.HasLen, 0)
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -101,7 +101,7 @@
 			return errors.Wrap(err, "request")
 		}
 	}
-	var last error
+	last := errors.New("no address is given")
 	for _, address := range c.addresses {
 		response, err := c.send(ctx, method, "http://"+address+path, data)
 		if err != nil {
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,168 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/platform/memory"
+	"lovageyard.example/lovageyard/timer"
+)
+
+// flaky is a table whose transactions lose their answers, before or after taking effect.
+type flaky struct {
+	lovageyard.Table
+	lostAfter  bool
+	lostBefore bool
+	unreadable bool
+}
+
+func (f *flaky) Transact(ctx context.Context, t lovageyard.Transaction) (int64, error) {
+	if f.lostBefore {
+		return 0, errors.Wrap(lovageyard.ErrUnknownOutcome, "lost")
+	}
+	version, err := f.Table.Transact(ctx, t)
+	if f.lostAfter {
+		return 0, errors.Wrap(lovageyard.ErrUnknownOutcome, "lost")
+	}
+	return version, err
+}
+
+func (f *flaky) Read(ctx context.Context, table, key string) (lovageyard.Row, error) {
+	if f.unreadable {
+		return lovageyard.Row{}, errors.New("down")
+	}
+	return f.Table.Read(ctx, table, key)
+}
+
+// desk is a controller that knows one site.
+type desk struct {
+	polls int
+}
+
+func (*desk) Status(context.Context) (Status, error) {
+	return Status{State: lovageyard.StateLive, Pools: []PoolStatus{{Service: "desk", Site: "north"}}}, nil
+}
+
+func (*desk) Explain(_ context.Context, class string, client netip.Addr) (Explanation, error) {
+	return Explanation{Class: class, Client: client.String()}, nil
+}
+
+func (d *desk) Poll() {
+	d.polls++
+}
+
+func newDesk(t *testing.T) (client *Client, table *flaky, controller *desk) {
+	table = &flaky{Table: memory.NewStore()}
+	controller = &desk{}
+	clock := timer.NewManual(time.Unix(1000, 0))
+	front := httptest.NewServer(NewHandler(controller, table, clock, metrics.NewRegistry()))
+	t.Cleanup(front.Close)
+	// The first address never answers; the client goes on to the next.
+	return NewClient([]string{"127.0.0.1:1", front.Listener.Addr().String()}), table, controller
+}
+
+func testClass(importance int) lovageyard.Class {
+	return lovageyard.Class{
+		Name:       "lookups",
+		Service:    "desk",
+		Match:      []lovageyard.Match{{PathPrefix: "/"}},
+		Deadline:   lovageyard.Duration(time.Second),
+		Importance: importance,
+		Target:     lovageyard.Target{Cap: 0.1, Interval: lovageyard.Duration(time.Minute)},
+	}
+}
+
+func status(c *qt.C, err error) int {
+	var call *CallError
+	c.Assert(errors.As(err, &call), qt.IsTrue, qt.Commentf("%v", err))
+	return call.Status
+}
+
+func TestRacingOperators(t *testing.T) {
+	c := qt.New(t)
+	client, _, controller := newDesk(t)
+	ctx := context.Background()
+	first, err := client.PutClass(ctx, testClass(1), 0)
+	c.Assert(err, qt.IsNil)
+	second, err := client.PutClass(ctx, testClass(2), first.Version)
+	c.Assert(err, qt.IsNil)
+	_, err = client.PutClass(ctx, testClass(3), first.Version)
+	c.Assert(status(c, err), qt.Equals, 409)
+	var call *CallError
+	errors.As(err, &call)
+	c.Assert(call.Problem.Winner.Version, qt.Equals, second.Version)
+	c.Assert(call.Problem.Winner.Class.Importance, qt.Equals, 2)
+	c.Assert(call.Problem.Verdict, qt.Equals, lovageyard.VerdictNotRun)
+	c.Assert(controller.polls, qt.Equals, 2)
+	c.Assert(client.DeleteClass(ctx, "lookups", second.Version), qt.IsNil)
+	_, err = client.Class(ctx, "lookups")
+	c.Assert(status(c, err), qt.Equals, 404)
+}
+
+func TestWriteWhoseAnswerIsLost(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		fault   func(f *flaky)
+		status  int
+		verdict lovageyard.Verdict
+	}{
+		{"took effect", func(f *flaky) { f.lostAfter = true }, 0, ""},
+		{"did not take effect so far", func(f *flaky) { f.lostBefore = true }, 504, lovageyard.VerdictMayHaveRun},
+		{"can't be read back", func(f *flaky) { f.lostAfter, f.unreadable = true, true }, 504, lovageyard.VerdictMayHaveRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			client, table, _ := newDesk(t)
+			test.fault(table)
+			_, err := client.PutClass(context.Background(), testClass(1), 0)
+			if test.status == 0 {
+				c.Assert(err, qt.IsNil)
+				return
+			}
+			c.Assert(status(c, err), qt.Equals, test.status)
+			var call *CallError
+			errors.As(err, &call)
+			c.Assert(call.Problem.Verdict, qt.Equals, test.verdict)
+		})
+	}
+}
+
+func TestOrdersForSites(t *testing.T) {
+	c := qt.New(t)
+	client, table, _ := newDesk(t)
+	ctx := context.Background()
+	c.Assert(client.Drain(ctx, "north", time.Unix(2000, 0)), qt.IsNil)
+	row, err := table.Read(ctx, lovageyard.TableSites, "north")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(row.Value), qt.Contains, `"draining":true`)
+	c.Assert(client.Restore(ctx, "north"), qt.IsNil)
+	c.Assert(status(c, client.Drain(ctx, "north", time.Unix(999, 0))), qt.Equals, 422)
+	c.Assert(status(c, client.Drain(ctx, "nowhere", time.Time{})), qt.Equals, 404)
+}
+
+func TestBadInput(t *testing.T) {
+	c := qt.New(t)
+	client, _, _ := newDesk(t)
+	ctx := context.Background()
+	bad := testClass(1)
+	bad.Target.Cap = 2
+	_, err := client.PutClass(ctx, bad, 0)
+	c.Assert(status(c, err), qt.Equals, 422)
+	c.Assert(err, qt.ErrorMatches, `target.cap: .*`)
+	_, err = client.Explain(ctx, "lookups", "someone")
+	c.Assert(status(c, err), qt.Equals, 400)
+	for _, path := range []string{"/classes/lookups?version=x", "/classes/lookups"} {
+		err = client.call(ctx, "DELETE", path, nil, nil)
+		c.Assert(status(c, err), qt.Equals, 400, qt.Commentf("%s", path))
+	}
+	c.Assert(fmt.Sprint(NewClient(nil).get(ctx, "/status", nil)), qt.Contains, "no operator address")
+}
