Charges run at most once: claims in the platform's table

Cause: a request of a class that is not idempotent was sent once by each attempt, but a repeat with the same key by the caller ran again.

Change: package charge with claims (claimed, recorded, released, unknown) by conditional writes; the caller's Idempotency-Key is required; a recorded answer is replayed, another request under the key refused (422), an unknown one never sent again; operators list, show and settle charges; send-before travels to the server; stand-in servers limit their connections. Long request bodies may overlap the answer.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -40,6 +40,7 @@
 	if whole {
 		done(false)
 	}
+	x.recordAnswer(response, kept, whole)
 	x.head(response)
 	_, err := x.writer.Write(kept)
 	if !whole {
--- a/caller/body.go
+++ b/caller/body.go
@@ -16,17 +16,17 @@
 	empty bool
 }
 
-// readAhead reads a body up to maxKept.
-func readAhead(r *http.Request) (*requestBody, error) {
+// readAhead reads a body up to a limit.
+func readAhead(r *http.Request, limit int64) (*requestBody, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return &requestBody{empty: true}, nil
 	}
-	kept, err := io.ReadAll(io.LimitReader(r.Body, maxKept))
+	kept, err := io.ReadAll(io.LimitReader(r.Body, limit))
 	if err != nil {
 		return nil, err
 	}
 	b := &requestBody{kept: kept}
-	if len(kept) == maxKept {
+	if int64(len(kept)) == limit {
 		b.rest = r.Body
 	}
 	return b, nil
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"net/textproto"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,10 +25,12 @@
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/backend"
 	"lovageyard.example/lovageyard/block"
+	"lovageyard.example/lovageyard/charge"
 	"lovageyard.example/lovageyard/class"
 	"lovageyard.example/lovageyard/grant"
 	"lovageyard.example/lovageyard/instance"
 	"lovageyard.example/lovageyard/move"
+	"lovageyard.example/lovageyard/platform/memory"
 	"lovageyard.example/lovageyard/route"
 	"lovageyard.example/lovageyard/server"
 	"lovageyard.example/lovageyard/timer"
@@ -112,9 +115,11 @@
 		})
 	}
 	client := backend.NewClient()
+	charges := charge.NewBook(memory.NewStore(), timer.Clock{}, "near-1/1")
 	handler := NewHandler(Parts{
 		Source:   r,
 		Watcher:  r,
+		Charges:  charges,
 		Backend:  client,
 		Timer:    timer.Clock{},
 		Recorder: r,
@@ -127,6 +132,7 @@
 		r.client.CloseIdleConnections()
 		r.front.Close()
 		client.Close()
+		charges.Close()
 	})
 	return r
 }
@@ -189,7 +195,7 @@
 			}
 			// The first turn of round robin is the second server of the list.
 			r := newRig(t, second, first)
-			response, err := r.client.Post(r.front.URL+test.path, "text/plain", strings.NewReader("body"))
+			response, err := r.client.Do(post(c, r.front.URL+test.path, "key-1", "body"))
 			c.Assert(err, qt.IsNil)
 			defer response.Body.Close()
 			c.Assert(response.StatusCode, qt.Equals, test.status)
@@ -244,8 +250,7 @@
 		seen <- r.Header.Get(lovageyard.DeadlineHeader)
 		<-r.Context().Done()
 	}))
-	request, err := http.NewRequest(http.MethodPost, r.front.URL+"/charges/1", strings.NewReader("x"))
-	c.Assert(err, qt.IsNil)
+	request := post(c, r.front.URL+"/charges/1", "key-1", "x")
 	request.Header.Set(lovageyard.DeadlineHeader, "150")
 	response, err := r.client.Do(request)
 	c.Assert(err, qt.IsNil)
@@ -433,3 +438,104 @@
 		})
 	}
 }
+
+// post returns a request with a key.
+func post(c *qt.C, target, key, body string) *http.Request {
+	request, err := http.NewRequest(http.MethodPost, target, strings.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	if key != "" {
+		request.Header.Set(keyHeader, key)
+	}
+	return request
+}
+
+// TestChargeRunsAtMostOnce repeats charges after each end of the first one.
+func TestChargeRunsAtMostOnce(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		backend    http.HandlerFunc
+		key, body  string
+		status     int
+		verdict    lovageyard.Verdict
+		secondRuns bool
+	}{
+		{"same key", answerOK, "key-1", "body", 200, lovageyard.VerdictRan, false},
+		{"other body", answerOK, "key-1", "other", 422, lovageyard.VerdictNotRun, false},
+		{"other key", answerOK, "key-2", "body", 200, "", true},
+		{"no key", answerOK, "", "body", 400, lovageyard.VerdictNotRun, false},
+		{"bad key", answerOK, "two words", "body", 400, lovageyard.VerdictNotRun, false},
+		{"first cut", cutInBody, "key-1", "body", 409, lovageyard.VerdictMayHaveRun, false},
+		{"first refused", refuse, "key-1", "body", 503, lovageyard.VerdictNotRun, true},
+		{"body too long", answerOK, "key-2", strings.Repeat("x", maxChargeBody+1), 413, lovageyard.VerdictNotRun, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var runs atomic.Int64
+			r := newRig(t, newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				test.backend(w, r)
+			}))
+			first, err := r.client.Do(post(c, r.front.URL+"/charges/1", "key-1", "body"))
+			c.Assert(err, qt.IsNil)
+			wanted, err := io.ReadAll(first.Body)
+			c.Assert(err, qt.IsNil)
+			first.Body.Close()
+			before := runs.Load()
+			second, err := r.client.Do(post(c, r.front.URL+"/charges/1", test.key, test.body))
+			c.Assert(err, qt.IsNil)
+			defer second.Body.Close()
+			got, err := io.ReadAll(second.Body)
+			c.Assert(err, qt.IsNil)
+			c.Assert(second.StatusCode, qt.Equals, test.status)
+			c.Assert(second.Header.Get(lovageyard.VerdictHeader), qt.Equals, string(test.verdict))
+			c.Assert(runs.Load() > before, qt.Equals, test.secondRuns)
+			if test.verdict == lovageyard.VerdictRan {
+				c.Assert(string(got), qt.Equals, string(wanted))
+			}
+		})
+	}
+}
+
+// TestMemoryStaysFlatOnLongBodies passes 100 MB each way.
+func TestMemoryStaysFlatOnLongBodies(t *testing.T) {
+	c := qt.New(t)
+	const size = 100 << 20
+	r := newRig(t, newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		n, _ := io.Copy(w, r.Body)
+		if n != size {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	peak := make(chan uint64, 1)
+	done := make(chan struct{})
+	go func() {
+		most := uint64(0)
+		for {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			most = max(most, m.HeapInuse)
+			select {
+			case <-done:
+				peak <- most
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}()
+	response, err := r.client.Post(r.front.URL+"/lookups/long", "text/plain", io.LimitReader(zeros{}, size))
+	c.Assert(err, qt.IsNil)
+	n, err := io.Copy(io.Discard, response.Body)
+	c.Assert(err, qt.IsNil)
+	response.Body.Close()
+	close(done)
+	c.Assert(n, qt.Equals, int64(size))
+	c.Assert(<-peak < size/2, qt.IsTrue)
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) {
+	return len(b), nil
+}
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -14,6 +14,7 @@
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/backend"
 	"lovageyard.example/lovageyard/block"
+	"lovageyard.example/lovageyard/charge"
 	"lovageyard.example/lovageyard/class"
 	"lovageyard.example/lovageyard/route"
 	"lovageyard.example/lovageyard/server"
@@ -39,6 +40,7 @@
 	attempt  int
 	choice   route.Choice
 	slot     server.Result
+	held     *charge.Held
 }
 
 func (h *Handler) forward(w http.ResponseWriter, r *http.Request, s *route.Snapshot) {
@@ -87,12 +89,19 @@
 
 // run makes attempts until one is answered or none may follow.
 func (x *exchange) run() {
-	body, err := readAhead(x.request)
+	body, err := readAhead(x.request, x.maxKept())
 	if err != nil {
 		x.refuse(http.StatusBadRequest, lovageyard.NotRun("the request's body could not be read", err), 0)
 		return
 	}
 	x.body = body
+	if !body.whole() {
+		// A long body may still be arriving when the answer begins.
+		_ = http.NewResponseController(x.writer).EnableFullDuplex()
+	}
+	if !x.claim() {
+		return
+	}
 	x.work.Budget.Earn()
 	for x.attempt = 1; ; x.attempt++ {
 		failure := x.try()
@@ -101,12 +110,21 @@
 		}
 		x.record(failure, 0)
 		if !x.mayRetry(failure) {
+			x.endClaim(failure.Verdict)
 			x.finish(failure)
 			return
 		}
 	}
 }
 
+// maxKept returns the size up to which the request's body is kept.
+func (x *exchange) maxKept() int64 {
+	if x.work.Class.Idempotent {
+		return maxKept
+	}
+	return maxChargeBody
+}
+
 // attemptError is a failed attempt: the failure, and the answer's status if it is final.
 type attemptError struct {
 	*lovageyard.RequestError
@@ -255,6 +273,7 @@
 	}
 	left := max(1, x.deadline.Sub(x.handler.timer.Now()).Milliseconds())
 	out.Header.Set(lovageyard.DeadlineHeader, strconv.FormatInt(left, 10))
+	out.Header.Set(lovageyard.SendBeforeHeader, strconv.FormatInt(x.deadline.UnixMilli(), 10))
 	out.Header.Set(lovageyard.FailureDomainHeader, x.handler.self.FailureDomain)
 	out.Close = false
 	out.TransferEncoding = nil
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/charge"
 	"lovageyard.example/lovageyard/class"
 	"lovageyard.example/lovageyard/route"
 )
@@ -25,10 +27,19 @@
 	ServerLeaving(service, site, server string)
 }
 
+// Charges keeps the claims of requests that must run at most once.
+type Charges interface {
+	Claim(ctx context.Context, r charge.Request) (*charge.Held, *charge.Answer, error)
+	Record(h *charge.Held, a charge.Answer)
+	Release(h *charge.Held)
+	Lose(h *charge.Held)
+}
+
 // Handler answers callers.
 type Handler struct {
 	source   Source
 	watcher  Watcher
+	charges  Charges
 	backend  lovageyard.Backend
 	timer    lovageyard.Timer
 	recorder lovageyard.Recorder
@@ -40,6 +51,7 @@
 type Parts struct {
 	Source   Source
 	Watcher  Watcher
+	Charges  Charges
 	Backend  lovageyard.Backend
 	Timer    lovageyard.Timer
 	Recorder lovageyard.Recorder
@@ -52,6 +64,7 @@
 	return &Handler{
 		source:   p.Source,
 		watcher:  p.Watcher,
+		charges:  p.Charges,
 		backend:  p.Backend,
 		timer:    p.Timer,
 		recorder: p.Recorder,
--- a/lovageyard/main.go
+++ b/lovageyard/main.go
@@ -31,6 +31,7 @@
 	Site     siteCommands     `cmd:"" help:"Sites."`
 	Move     moveCommands     `cmd:"" help:"Moves of work between sites."`
 	Instance instanceCommands `cmd:"" help:"Entry instances."`
+	Charge   chargeCommands   `cmd:"" help:"Requests that must run at most once."`
 	Explain  explainCommand   `cmd:"" help:"Tell where a client's requests go, and why."`
 	Status   statusCommand    `cmd:"" help:"Tell how one entry instance and its sites are doing."`
 }
--- a/lovageyardd/daemon.go
+++ b/lovageyardd/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log"
 	"net"
@@ -17,6 +18,7 @@
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/backend"
 	"lovageyard.example/lovageyard/caller"
+	"lovageyard.example/lovageyard/charge"
 	"lovageyard.example/lovageyard/class"
 	"lovageyard.example/lovageyard/control"
 	"lovageyard.example/lovageyard/decision"
@@ -49,6 +51,7 @@
 	backend   *backend.Client
 	platform  *platform.Client
 	peers     *peer.Client
+	charges   *charge.Book
 	callers   *http.Server
 	peering   *http.Server
 	operators *http.Server
@@ -155,9 +158,11 @@
 		LeaseSpan: o.LeaseSpan,
 		Seed:      uint64(self.Life),
 	})
+	d.charges = charge.NewBook(d.platform, clock, fmt.Sprintf("%s/%d", self.Name, self.Life))
 	handler := caller.NewHandler(caller.Parts{
 		Source:   d.control,
 		Watcher:  d.control,
+		Charges:  d.charges,
 		Backend:  d.backend,
 		Timer:    clock,
 		Recorder: recorder,
@@ -205,6 +210,7 @@
 	defer cancel()
 	_ = d.operators.Shutdown(bound)
 	_ = d.peering.Shutdown(bound)
+	d.charges.Close()
 	d.control.Close()
 	d.backend.Close()
 	d.platform.Close()
--- a/operator/client.go
+++ b/operator/client.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/charge"
 )
 
 // clientTimeout bounds one call of the command line.
@@ -79,6 +80,29 @@
 	return c.call(ctx, http.MethodPost, "/sites/"+url.PathEscape(site)+"/restore", nil, nil)
 }
 
+// Charges returns the charges of a state.
+func (c *Client) Charges(ctx context.Context, state charge.State) ([]charge.Claim, error) {
+	var claims []charge.Claim
+	return claims, c.get(ctx, "/charges?"+url.Values{"state": {string(state)}}.Encode(), &claims)
+}
+
+// Charge returns the charge of a class's key.
+func (c *Client) Charge(ctx context.Context, class, key string) (charge.Claim, error) {
+	var claim charge.Claim
+	return claim, c.get(ctx, chargePath(class, key), &claim)
+}
+
+// SettleCharge settles an unknown charge as run or not run.
+func (c *Client) SettleCharge(ctx context.Context, class, key string, ran bool, operator string) (charge.Claim, error) {
+	var settled charge.Claim
+	order := Settlement{Ran: ran, Operator: operator}
+	return settled, c.call(ctx, http.MethodPost, chargePath(class, key)+"/settle", order, &settled)
+}
+
+func chargePath(class, key string) string {
+	return "/charges/" + url.PathEscape(class) + "/" + url.PathEscape(key)
+}
+
 // Explain tells where a request of a client goes.
 func (c *Client) Explain(ctx context.Context, class, client string) (Explanation, error) {
 	var e Explanation
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -50,6 +50,9 @@
 	h.mux.HandleFunc("DELETE /classes/{name}", h.deleteClass)
 	h.mux.HandleFunc("POST /sites/{name}/drain", h.drain)
 	h.mux.HandleFunc("POST /sites/{name}/restore", h.restore)
+	h.mux.HandleFunc("GET /charges", h.listCharges)
+	h.mux.HandleFunc("GET /charges/{class}/{key}", h.showCharge)
+	h.mux.HandleFunc("POST /charges/{class}/{key}/settle", h.settleCharge)
 	h.mux.HandleFunc("GET /explain", h.explain)
 	h.mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -13,6 +13,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/charge"
 	"lovageyard.example/lovageyard/platform/memory"
 	"lovageyard.example/lovageyard/timer"
 )
@@ -166,3 +167,32 @@
 	}
 	c.Assert(fmt.Sprint(NewClient(nil).get(ctx, "/status", nil)), qt.Contains, "no operator address")
 }
+
+func TestSettleCharge(t *testing.T) {
+	c := qt.New(t)
+	client, table, _ := newDesk(t)
+	ctx := context.Background()
+	clock := timer.NewManual(time.Unix(1000, 0))
+	book := charge.NewBook(table, clock, "entry/1")
+	defer book.Close()
+	held, _, err := book.Claim(ctx, charge.Request{Class: "charges", Key: "a/b?c", SendBefore: clock.Now().Add(time.Second)})
+	c.Assert(err, qt.IsNil)
+	_, err = client.SettleCharge(ctx, "charges", "a/b?c", true, "olle")
+	c.Assert(status(c, err), qt.Equals, 409)
+	book.Lose(held)
+	unknown, err := client.Charges(ctx, charge.Unknown)
+	c.Assert(err, qt.IsNil)
+	c.Assert(unknown, qt.HasLen, 1)
+	settled, err := client.SettleCharge(ctx, "charges", "a/b?c", false, "olle")
+	c.Assert(err, qt.IsNil)
+	c.Assert(settled.State, qt.Equals, charge.Released)
+	shown, err := client.Charge(ctx, "charges", "a/b?c")
+	c.Assert(err, qt.IsNil)
+	c.Assert(shown.SettledBy, qt.Equals, "olle")
+	_, err = client.SettleCharge(ctx, "charges", "none", true, "olle")
+	c.Assert(status(c, err), qt.Equals, 404)
+	_, err = client.SettleCharge(ctx, "charges", "a/b?c", true, "")
+	c.Assert(status(c, err), qt.Equals, 400)
+	_, err = client.Charges(ctx, "lost")
+	c.Assert(status(c, err), qt.Equals, 400)
+}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -16,6 +16,7 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/backend"
+	"lovageyard.example/lovageyard/charge"
 )
 
 // Behaviour of a stand-in server.
@@ -134,7 +135,7 @@
 	defer time.Sleep(delay)
 	ctx, cancel := deadlineOf(r)
 	defer cancel()
-	if !s.enter(ctx) {
+	if tooLate(r) || !s.enter(ctx) {
 		s.refuse(w)
 		return
 	}
@@ -157,6 +158,12 @@
 	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 }
 
+// tooLate says whether a request may not begin any more, by the sender's clock.
+func tooLate(r *http.Request) bool {
+	ms, err := strconv.ParseInt(r.Header.Get(lovageyard.SendBeforeHeader), 10, 64)
+	return err == nil && time.Now().After(time.UnixMilli(ms).Add(charge.Skew))
+}
+
 func (s *backendServer) currentFaults() serverFaults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/servers.go
+++ b/standin/servers.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
 
 	"lovageyard.example/lovageyard"
 )
@@ -134,7 +135,8 @@
 	var running sync.WaitGroup
 	failures := make(chan error, len(servers))
 	for _, s := range servers {
-		running.Go(func() { failures <- serve(ctx, s.listener, s) })
+		limited := netutil.LimitListener(s.listener, s.Connections)
+		running.Go(func() { failures <- serve(ctx, limited, s) })
 	}
 	running.Wait()
 	close(failures)
--- a/verdict.go
+++ b/verdict.go
@@ -17,6 +17,8 @@
 
 // Headers that the system's parties exchange besides VerdictHeader.
 const (
+	// SendBeforeHeader bounds when a request may begin to run, in milliseconds since 1970.
+	SendBeforeHeader    = "Lovageyard-Send-Before-Ms"
 	DeadlineHeader      = "Lovageyard-Deadline-Ms"
 	LoadHeader          = "Lovageyard-Load"
 	FailureDomainHeader = "Lovageyard-Failure-Domain"
