Control that grows less with the fleet: planners by service, gossip by turns, zipped rows

Cause: worked out from measured slopes, the exchange passed on 64 members with all their steps (94 KB/s), one planner placed every class (62% of a core), and rows of plans went out as JSON.

Change: each service has its own planner's lease, tried by two relays that rendezvous hash names; relays send merged reports with their domain's progress to those; a message passes on 16 members at the most (news first, then by turns) and steps only within the failure domain, none for a class at rest; the live list and the relays are kept between changes; long rows are compressed between peers.

--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -96,6 +96,14 @@
 	return list
 }
 
+func instances(count int) []lovageyard.EntryInstance {
+	var list []lovageyard.EntryInstance
+	for _, m := range members(count) {
+		list = append(list, m.EntryInstance)
+	}
+	return list
+}
+
 func blockTable(count int) *block.Table {
 	entries := make([]block.Entry, 0, count)
 	for n := range count {
@@ -181,11 +189,11 @@
 			return nanoseconds(func() { t.Find(client) })
 		}},
 		{name: "ranking of instances", per: "instance of the failure domain", unit: "ns", sizes: []int{2, 4, 8, 16, 32}, at: func(n int) float64 {
-			list := members(n)
+			list := instances(n)
 			for i := range list {
 				list[i].FailureDomain = domainName(0)
 			}
-			others := members(perDomain * 64)
+			others := instances(perDomain * 64)
 			d := instance.NewDirectory(append(list, others[perDomain:]...))
 			return nanoseconds(func() { d.Rank(domainName(0), 12345) })
 		}},
@@ -210,7 +218,7 @@
 			return nanoseconds(func() { t.Live() })
 		}},
 		{name: "directory for look-ups", per: "instance", unit: "ns", sizes: []int{175, 350, 700, 1400}, at: func(n int) float64 {
-			list := members(n)
+			list := instances(n)
 			return nanoseconds(func() { instance.NewDirectory(list) })
 		}},
 		{name: "members in an exchange", per: "member passed on", unit: "bytes sent", sizes: []int{8, 16, 32, 64}, at: func(n int) float64 {
--- a/control/control.go
+++ b/control/control.go
@@ -15,7 +15,6 @@
 	"lovageyard.example/lovageyard/class"
 	"lovageyard.example/lovageyard/configuration"
 	"lovageyard.example/lovageyard/instance"
-	"lovageyard.example/lovageyard/lease"
 	"lovageyard.example/lovageyard/peer/wire"
 	"lovageyard.example/lovageyard/placement"
 	"lovageyard.example/lovageyard/route"
@@ -31,7 +30,7 @@
 	listEvery   = time.Second
 	blocksEvery = 10 * time.Second
 	planEvery   = time.Second
-	reportEvery = time.Second
+	reportEvery = 2 * time.Second
 	probeEvery  = 2 * time.Second
 	// adoptPatience is how long an instance waits for a peer to tell what is applied.
 	adoptPatience = 3 * time.Second
@@ -92,8 +91,7 @@
 	pools     map[poolKey]*pool
 	marks     map[poolServer]lovageyard.InstanceState
 	reports   map[string]*report
-	lease     *lease.Lease
-	leader    lease.Record
+	planners  map[string]*planner
 	busy      map[string]bool
 	due       map[string]time.Time
 	random    *rand.Rand
@@ -114,7 +112,6 @@
 	self := instance.Member{EntryInstance: s.Self}
 	self.State = lovageyard.StateLive
 	blocks, _ := block.NewTable(nil)
-	holder := leaseHolder(s.Self)
 	c := &Control{
 		settings: s,
 		inbox:    make(chan message, inboxSize),
@@ -127,7 +124,7 @@
 		pools:    make(map[poolKey]*pool),
 		marks:    make(map[poolServer]lovageyard.InstanceState),
 		reports:  make(map[string]*report),
-		lease:    lease.New(s.Table, plannerKey, holder, s.Self.PeerAddress, s.LeaseSpan),
+		planners: make(map[string]*planner),
 		busy:     make(map[string]bool),
 		due:      make(map[string]time.Time),
 		random:   rand.New(rand.NewPCG(s.Seed, s.Seed)),
@@ -258,7 +255,7 @@
 }
 
 func (c *Control) relays() []string {
-	return instance.ChooseRelays(c.members.Live(), c.self.FailureDomain)
+	return c.members.Relays(c.self.FailureDomain)
 }
 
 // Leave makes the instance leave look-ups; it goes on serving.
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -16,7 +16,7 @@
 const (
 	exchangeEvery = time.Second
 	// maxMembers bounds the members that one message passes on.
-	maxMembers = 64
+	maxMembers = 16
 )
 
 // exchange begins the exchanges that are due: with the relays and one other neighbour,
@@ -105,16 +105,10 @@
 	return c.config.Version() == 0
 }
 
-// wireMembers returns the members to pass on: all, or a random part if there are many.
+// wireMembers returns the members to pass on.
 func (c *Control) wireMembers() []*wire.Member {
-	members := c.members.Heard()
-	start := 0
-	if len(members) > maxMembers {
-		start = c.random.IntN(len(members))
-	}
 	var out []*wire.Member
-	for i := range min(len(members), maxMembers) {
-		m := members[(start+i)%len(members)]
+	for _, m := range c.members.Gossip(maxMembers, c.settings.Timer.Now()) {
 		if m.Name != c.self.Name {
 			out = append(out, peer.FromMember(m))
 		}
@@ -148,7 +142,7 @@
 	from := peer.ToMember(m.reply.GetFrom())
 	c.hear(m.reply.GetFrom(), m.reply.GetMembers(), m.reply.GetMarks())
 	if m.reply.GetChanges() != nil {
-		c.applyChanges(peer.ToChanges(m.reply.GetChanges()))
+		c.hearChanges(m.reply.GetChanges())
 	}
 	for _, a := range m.reply.GetApplied() {
 		if w := c.works[a.GetClass()]; w != nil && !w.stepper.Adopted() {
@@ -167,6 +161,15 @@
 	}
 }
 
+func (c *Control) hearChanges(w *wire.Changes) {
+	changes, err := peer.ToChanges(w)
+	if err != nil {
+		c.settings.Logger.WithError(err).Warn("a peer's changes could not be read")
+		return
+	}
+	c.applyChanges(changes)
+}
+
 // hearListing takes in the platform's list as a peer has read it, if it is newer.
 func (c *Control) hearListing(data []byte, readAt time.Time) {
 	var l lovageyard.Listing
--- /dev/null
+++ b/control/grants.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/grant"
+	"lovageyard.example/lovageyard/lease"
+	"lovageyard.example/lovageyard/placement"
+)
+
+// grantInput is what the planner needs to write the grants.
+type grantInput struct {
+	service string
+	plan    lovageyard.GrantPlan
+	version int64
+	changed bool
+}
+
+func (c *Control) grantInput(v *view, service string) grantInput {
+	typical := v.typicalService(service)
+	var spares []grant.Spare
+	for _, key := range c.sortedPools() {
+		if key.service == service {
+			spares = append(spares, c.spare(v, key, typical))
+		}
+	}
+	var holders []string
+	for _, i := range c.members.Live() {
+		holders = append(holders, i.Name)
+	}
+	row, _ := c.config.Row(lovageyard.TableGrants, service)
+	plan := grant.Divide(spares, holders)
+	return grantInput{
+		service: service,
+		plan:    plan,
+		version: row.Version,
+		changed: grant.Differs(c.grants(service), plan, grantTolerance),
+	}
+}
+
+// spare returns what one service of a site can carry beyond its planned load.
+func (c *Control) spare(v *view, key poolKey, typical float64) grant.Spare {
+	p := c.pools[key]
+	service := v.service(key, typical)
+	s := grant.Spare{
+		Service: key.service,
+		Site:    key.site,
+		Known:   v.age(key) < placement.FreshFor && service > 0 && v.alive(key, p),
+	}
+	if service > 0 {
+		s.Capacity = float64(v.slots(key, p)) / service * (1 - c.settings.Headroom)
+	}
+	for _, k := range c.index.All() {
+		if k.Service == key.service {
+			s.Load += v.planned(k.Name, key.site)
+		}
+	}
+	return s
+}
+
+func (c *Control) writeGrants(ctx context.Context, l *lease.Lease, in grantInput) {
+	if !in.changed {
+		return
+	}
+	value, err := json.Marshal(in.plan)
+	if err == nil {
+		err = c.writeUnderLease(ctx, l, lovageyard.TableGrants, in.service, in.version, value)
+	}
+	if err != nil {
+		c.settings.Logger.WithError(err).Debug("the grants could not be written")
+	}
+}
--- a/control/pools.go
+++ b/control/pools.go
@@ -8,7 +8,6 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/grant"
-	"lovageyard.example/lovageyard/instance"
 	"lovageyard.example/lovageyard/server"
 )
 
@@ -99,14 +98,12 @@
 
 // setSharers tells the pools how many entry instances share their servers.
 func (c *Control) setSharers() {
-	live := c.members.Live()
+	inDomain := make(map[string]int)
+	for _, i := range c.members.Live() {
+		inDomain[i.FailureDomain]++
+	}
 	for _, p := range c.pools {
-		sharers := 0
-		for _, m := range live {
-			if m.FailureDomain == p.failureDomain {
-				sharers++
-			}
-		}
+		sharers := inDomain[p.failureDomain]
 		if p.failureDomain != c.self.FailureDomain {
 			sharers++
 		}
@@ -208,7 +205,7 @@
 }
 
 // regionOf returns the region of a failure domain, or "".
-func (c *Control) regionOf(failureDomain string, members []instance.Member) string {
+func (c *Control) regionOf(failureDomain string, members []lovageyard.EntryInstance) string {
 	for _, m := range members {
 		if m.FailureDomain == failureDomain {
 			return m.Region
--- a/control/publish.go
+++ b/control/publish.go
@@ -11,9 +11,6 @@
 	"lovageyard.example/lovageyard/route"
 )
 
-// grantsKey is the key of the row of grants.
-const grantsKey = "grants"
-
 func (c *Control) counter(name string) metrics.Counter {
 	return metrics.GetOrRegisterCounter(name, c.settings.Metrics)
 }
@@ -86,9 +83,10 @@
 	return 2
 }
 
-func (c *Control) grants() lovageyard.GrantPlan {
+// grants returns the grants of a service.
+func (c *Control) grants(service string) lovageyard.GrantPlan {
 	var p lovageyard.GrantPlan
-	row, found := c.config.Row(lovageyard.TableGrants, grantsKey)
+	row, found := c.config.Row(lovageyard.TableGrants, service)
 	if found {
 		_ = json.Unmarshal(row.Value, &p)
 	}
--- a/control/report.go
+++ b/control/report.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/class"
+	"lovageyard.example/lovageyard/peer"
 	"lovageyard.example/lovageyard/peer/wire"
 )
 
@@ -23,27 +26,65 @@
 }
 
 // sendReport sends this instance's measured demand to the relay of its failure domain,
-// or, as the relay, the demand of the whole failure domain to the planner.
+// or, as the relay, the demand of the whole failure domain to the planners.
 func (c *Control) sendReport(now time.Time) {
 	own := c.ownReport(now)
 	relays := c.relays()
 	if len(relays) > 0 && relays[0] != c.self.Name {
-		c.report("report relay", c.peerAddress(relays[0]), own)
+		c.report(c.peerAddress(relays[0]), own)
 		return
 	}
 	c.keepReport(own, now)
 	merged := c.mergeReports(now)
 	c.keepReport(merged, now)
-	if c.leader.Holder != leaseHolder(c.settings.Self) {
-		c.report("report planner", c.leader.Address, merged)
+	for name, services := range c.plannersByName() {
+		if name != c.self.Name {
+			c.report(c.peerAddress(name), forServices(merged, services, c.index))
+		}
+	}
+}
+
+// plannersByName returns the services that each candidate may plan.
+func (c *Control) plannersByName() map[string][]string {
+	byName := make(map[string][]string)
+	for _, service := range c.services() {
+		for _, name := range c.candidatesFor(service) {
+			byName[name] = append(byName[name], service)
+		}
+	}
+	return byName
+}
+
+// forServices returns the part of a merged report that concerns some services.
+func forServices(merged *wire.DemandReport, services []string, index *class.Index) *wire.DemandReport {
+	part := &wire.DemandReport{FailureDomain: merged.GetFailureDomain(), Reporter: merged.GetReporter(), Merged: true}
+	concerns := func(name string) bool {
+		k := index.Named(name)
+		return k != nil && slices.Contains(services, k.Service)
 	}
+	for _, d := range merged.GetClasses() {
+		if concerns(d.GetClass()) {
+			part.Classes = append(part.Classes, d)
+		}
+	}
+	for _, s := range merged.GetSettled() {
+		if concerns(s.GetClass()) {
+			part.Settled = append(part.Settled, s)
+		}
+	}
+	for _, s := range merged.GetSites() {
+		if slices.Contains(services, s.GetService()) {
+			part.Sites = append(part.Sites, s)
+		}
+	}
+	return part
 }
 
-func (c *Control) report(name, address string, r *wire.DemandReport) {
+func (c *Control) report(address string, r *wire.DemandReport) {
 	if address == "" {
 		return
 	}
-	c.call(name, func(ctx context.Context) message {
+	c.call("report "+address, func(ctx context.Context) message {
 		if err := c.settings.Peers.Report(ctx, address, r); err != nil {
 			c.settings.Logger.WithError(err).Debug("report failed")
 		}
@@ -52,12 +93,8 @@
 }
 
 func (c *Control) peerAddress(name string) string {
-	for _, m := range c.members.Known() {
-		if m.Name == name {
-			return m.PeerAddress
-		}
-	}
-	return ""
+	m, _ := c.members.Find(name)
+	return m.PeerAddress
 }
 
 func (c *Control) ownReport(now time.Time) *wire.DemandReport {
@@ -139,6 +176,7 @@
 			merged.Sites = append(merged.Sites, s)
 		}
 	}
+	merged.Settled = peer.FromSteps(c.domainSteps())
 	return merged
 }
 
--- a/control/status.go
+++ b/control/status.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
+	"strings"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/operator"
@@ -53,8 +55,7 @@
 		State:         c.self.State,
 		Version:       c.config.Version(),
 		Relay:         c.isRelay(),
-		Planner:       c.leader.Holder,
-		PlannerEpoch:  c.leader.Epoch,
+		Planners:      c.plannerStatus(),
 		Blocks:        c.blocks.Len(),
 		Sites:         c.config.Orders(),
 	}
@@ -87,6 +88,16 @@
 	return s
 }
 
+// plannerStatus tells who plans each service, as far as this instance has seen.
+func (c *Control) plannerStatus() []operator.PlannerStatus {
+	var list []operator.PlannerStatus
+	for service, p := range c.planners {
+		list = append(list, operator.PlannerStatus{Service: service, Holder: p.record.Holder, Epoch: p.record.Epoch})
+	}
+	slices.SortFunc(list, func(a, b operator.PlannerStatus) int { return strings.Compare(a.Service, b.Service) })
+	return list
+}
+
 func (c *Control) moveStatus(w *work) operator.MoveStatus {
 	settled, remaining := w.stepper.Settled(w.demand())
 	m := operator.MoveStatus{
--- a/control/works.go
+++ b/control/works.go
@@ -106,9 +106,12 @@
 }
 
 func (c *Control) setGrants(now time.Time) {
-	grants := c.grants()
+	grants := make(map[string]lovageyard.GrantPlan)
 	for k, p := range c.pools {
-		p.allowance.SetRate(grant.Rate(grants, c.self.Name, k.service, k.site), now)
+		if _, found := grants[k.service]; !found {
+			grants[k.service] = c.grants(k.service)
+		}
+		p.allowance.SetRate(grant.Rate(grants[k.service], c.self.Name, k.service, k.site), now)
 	}
 }
 
@@ -221,19 +224,35 @@
 	return w.plan.Step
 }
 
-// level says whether all neighbours have begun a plan step.
+// level says whether all neighbours have begun a plan step. One that tells no step is at
+// rest with the plan of its configuration version.
 func (c *Control) level(class string, step int64, neighbours []instance.Member) bool {
+	version := c.planVersion(class)
 	for _, m := range neighbours {
-		for _, s := range m.Steps {
-			if s.Class == class && s.Begun > 0 && s.Begun < step {
-				return false
-			}
+		begun, told := stepOf(m, class)
+		if told && begun.Begun > 0 && begun.Begun < step || !told && m.Version < version {
+			return false
 		}
 	}
 	return true
 }
 
-// steps returns how far this instance is with each class's plan.
+func (c *Control) planVersion(class string) int64 {
+	row, _ := c.config.Row(lovageyard.TablePlans, class)
+	return row.Version
+}
+
+// stepOf returns the step that a member tells of a class, and whether it tells one.
+func stepOf(m instance.Member, class string) (instance.Step, bool) {
+	for _, s := range m.Steps {
+		if s.Class == class {
+			return s, true
+		}
+	}
+	return instance.Step{}, false
+}
+
+// steps returns how far this instance is with each class's plan; a class at rest is left out.
 func (c *Control) steps() []instance.Step {
 	var steps []instance.Step
 	for _, k := range c.index.All() {
@@ -242,6 +261,9 @@
 			continue
 		}
 		settled, left := w.stepper.Settled(w.demand())
+		if settled == w.plan.Step && w.stepper.Resting() {
+			continue
+		}
 		steps = append(steps, instance.Step{Class: k.Name, Begun: w.begun(), Settled: settled, Left: left})
 	}
 	return steps
--- a/instance/rank.go
+++ b/instance/rank.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -41,10 +42,10 @@
 }
 
 // NewDirectory returns the directory of the live instances.
-func NewDirectory(live []Member) *Directory {
+func NewDirectory(live []lovageyard.EntryInstance) *Directory {
 	d := &Directory{}
 	for i, m := range live {
-		d.members = append(d.members, m.EntryInstance)
+		d.members = append(d.members, m)
 		d.hashes = append(d.hashes, xxhash.Sum64String(m.Name))
 		d.all = append(d.all, i)
 		d.add(i, m)
@@ -55,7 +56,7 @@
 	return d
 }
 
-func (d *Directory) add(position int, m Member) {
+func (d *Directory) add(position int, m lovageyard.EntryInstance) {
 	for i := range d.domains {
 		if d.domains[i].name == m.FailureDomain {
 			d.domains[i].positions = append(d.domains[i].positions, position)
@@ -148,30 +149,23 @@
 
 // ChooseRelays returns the names of the members of a failure domain that read the platform,
 // highest rendezvous hash first.
-func ChooseRelays(live []Member, failureDomain string) []string {
-	type scored struct {
-		name  string
-		score uint64
-	}
-	var candidates []scored
-	salt := xxhash.Sum64String(failureDomain)
-	for _, m := range live {
-		if m.FailureDomain == failureDomain {
-			candidates = append(candidates, scored{name: m.Name, score: mix(salt ^ xxhash.Sum64String(m.Name))})
+func ChooseRelays(live []lovageyard.EntryInstance, failureDomain string) []string {
+	var names []string
+	for _, i := range live {
+		if i.FailureDomain == failureDomain {
+			names = append(names, i.Name)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b scored) int {
-		if a.score != b.score {
-			if a.score > b.score {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a.name, b.name)
+	return Choose(names, failureDomain, Relays)
+}
+
+// Choose returns the names that score highest for a key by rendezvous hash, best first.
+func Choose(names []string, key string, count int) []string {
+	salt := xxhash.Sum64String(key)
+	score := func(name string) uint64 { return mix(salt ^ xxhash.Sum64String(name)) }
+	chosen := slices.Clone(names)
+	slices.SortFunc(chosen, func(a, b string) int {
+		return cmp.Or(cmp.Compare(score(b), score(a)), strings.Compare(a, b))
 	})
-	var names []string
-	for _, c := range candidates[:min(Relays, len(candidates))] {
-		names = append(names, c.name)
-	}
-	return names
+	return chosen[:min(count, len(chosen))]
 }
--- a/instance/table.go
+++ b/instance/table.go
@@ -13,9 +13,11 @@
 // Limits of silence after which an instance is judged anew.
 const (
 	// SuspectAfter is the silence after which an instance of the own failure domain leaves look-ups.
-	SuspectAfter = 4 * time.Second
-	// RemoteSuspectAfter is the same for other failure domains, whose word comes through others.
+	SuspectAfter = 5 * time.Second
+	// RemoteSuspectAfter is the least silence for other failure domains, whose word comes through others.
 	RemoteSuspectAfter = 15 * time.Second
+	// remoteSuspectPerMember is added for each known instance, as word of it comes round less often.
+	remoteSuspectPerMember = 200 * time.Millisecond
 	// ForgetAfter is the further silence after which an instance is gone.
 	ForgetAfter = time.Minute
 )
@@ -46,8 +48,10 @@
 	member  Member
 	machine *fsm.FSM
 	changed time.Time
-	heard   bool
-	listed  bool
+	// news is when the judgement or the description changed last.
+	news   time.Time
+	heard  bool
+	listed bool
 }
 
 // Table holds the known entry instances; its owner calls it from one goroutine.
@@ -55,6 +59,10 @@
 	self    string
 	domain  string
 	entries map[string]*entry
+	// live and relays are worked out anew after a change of judgement.
+	live   []lovageyard.EntryInstance
+	relays map[string][]string
+	turn   int
 }
 
 // NewTable returns the table of an instance that knows only itself.
@@ -82,6 +90,8 @@
 	if e.heard && m.Life > e.member.Life {
 		fire(e.machine, eventNewLife)
 	}
+	before := e.machine.Current()
+	described := e.member.EntryInstance
 	e.member = m
 	e.heard = true
 	e.changed = now
@@ -90,9 +100,19 @@
 	} else {
 		fire(e.machine, eventLeaving)
 	}
+	if described != m.EntryInstance || before != e.machine.Current() {
+		t.note(e, now)
+	}
 	return true
 }
 
+// note drops what was worked out from the judgements.
+func (t *Table) note(e *entry, now time.Time) {
+	e.news = now
+	t.live = nil
+	t.relays = nil
+}
+
 func newer(m, known Member) bool {
 	if m.Life != known.Life {
 		return m.Life > known.Life
@@ -108,7 +128,9 @@
 		if e == nil {
 			e = &entry{machine: newMachine(), changed: now}
 			t.entries[listed.Name] = e
+			t.note(e, now)
 		}
+		before := e.machine.Current()
 		if !e.heard {
 			e.member.EntryInstance = listed
 			if !e.listed {
@@ -119,6 +141,9 @@
 		if listed.State != lovageyard.StateLive && listed.Life >= e.member.Life && listed.Name != t.self {
 			fire(e.machine, eventLeaving)
 		}
+		if before != e.machine.Current() {
+			t.note(e, now)
+		}
 	}
 }
 
@@ -140,7 +165,10 @@
 		if e.machine.Current() == stateGone && silence >= t.patience(e)+2*ForgetAfter {
 			delete(t.entries, name)
 		}
-		changed = changed || before != e.machine.Current()
+		if before != e.machine.Current() {
+			t.note(e, now)
+			changed = true
+		}
 	}
 	return changed
 }
@@ -149,7 +177,7 @@
 	if e.member.FailureDomain == t.domain {
 		return SuspectAfter
 	}
-	return RemoteSuspectAfter
+	return RemoteSuspectAfter + time.Duration(len(t.entries))*remoteSuspectPerMember
 }
 
 // Known returns the members that are not gone, in the order of their names, with
@@ -179,15 +207,86 @@
 	return members
 }
 
-// Live returns the instances that take new work, in the order of their names.
-func (t *Table) Live() []Member {
-	var members []Member
+// Live returns the instances that take new work, in the order of their names; callers
+// do not change the list.
+func (t *Table) Live() []lovageyard.EntryInstance {
+	if t.live != nil {
+		return t.live
+	}
 	for _, e := range t.entries {
 		if takesWork(e.machine.Current()) {
-			members = append(members, e.member)
+			t.live = append(t.live, e.member.EntryInstance)
+		}
+	}
+	slices.SortFunc(t.live, func(a, b lovageyard.EntryInstance) int {
+		return strings.Compare(a.Name, b.Name)
+	})
+	return t.live
+}
+
+// Relays returns the names of the relays of a failure domain.
+func (t *Table) Relays(failureDomain string) []string {
+	if t.relays == nil {
+		t.relays = make(map[string][]string)
+	}
+	known, found := t.relays[failureDomain]
+	if !found {
+		known = ChooseRelays(t.Live(), failureDomain)
+		t.relays[failureDomain] = known
+	}
+	return known
+}
+
+// Find returns the member of a name, and whether it is known.
+func (t *Table) Find(name string) (Member, bool) {
+	e := t.entries[name]
+	if e == nil {
+		return Member{}, false
+	}
+	return e.member, true
+}
+
+// newsFor is how long news goes ahead of other members in Gossip.
+const newsFor = 30 * time.Second
+
+// Gossip returns up to a number of members to tell a peer of: a quarter of it for news,
+// the rest by turns, half for the own failure domain and half for others. The steps of
+// other failure domains' members are left out, as only neighbours need them.
+func (t *Table) Gossip(count int, now time.Time) []Member {
+	heard := t.Heard()
+	if len(heard) <= count {
+		return t.trim(heard)
+	}
+	t.turn++
+	var chosen []Member
+	for _, m := range heard {
+		if len(chosen) < count/4 && now.Sub(t.entries[m.Name].news) < newsFor {
+			chosen = append(chosen, m)
+		}
+	}
+	own := slices.DeleteFunc(slices.Clone(heard), func(m Member) bool { return m.FailureDomain != t.domain })
+	others := slices.DeleteFunc(heard, func(m Member) bool { return m.FailureDomain == t.domain })
+	rest := count - len(chosen)
+	chosen = append(chosen, window(own, t.turn, min(rest/2, len(own)))...)
+	chosen = append(chosen, window(others, t.turn, min(count-len(chosen), len(others)))...)
+	return t.trim(chosen)
+}
+
+// window returns the part of a list whose turn it is.
+func window(list []Member, turn, count int) []Member {
+	var part []Member
+	for i := range count {
+		part = append(part, list[(turn*count+i)%len(list)])
+	}
+	return part
+}
+
+func (t *Table) trim(members []Member) []Member {
+	for i := range members {
+		if members[i].FailureDomain != t.domain {
+			members[i].Steps = nil
 		}
 	}
-	slices.SortFunc(members, byName)
 	return members
 }
 
--- a/lovageyard/show.go
+++ b/lovageyard/show.go
@@ -105,8 +105,11 @@
 		return err
 	}
 	return s.print(status, func(w io.Writer) {
-		fmt.Fprintf(w, "instance %s (%s, %s) %s, configuration version %d, planner %s\n",
-			status.Instance, status.FailureDomain, status.Region, status.State, status.Version, status.Planner)
+		fmt.Fprintf(w, "instance %s (%s, %s) %s, configuration version %d\n",
+			status.Instance, status.FailureDomain, status.Region, status.State, status.Version)
+		for _, p := range status.Planners {
+			fmt.Fprintf(w, "planner of %s: %s\n", p.Service, p.Holder)
+		}
 		table(w, "SERVICE\tSITE\tSERVERS\tTAKE WORK\tSLOTS\tIN FLIGHT HERE\tQUEUED HERE\tMEAN MS", func(w io.Writer) {
 			for _, p := range status.Pools {
 				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.1f\n", p.Service, p.Site, p.Servers, p.Takers,
--- a/operator/data.go
+++ b/operator/data.go
@@ -14,9 +14,9 @@
 	State         lovageyard.InstanceState `json:"state"`
 	Version       int64                    `json:"version"`
 	Relay         bool                     `json:"relay"`
-	Planner       string                   `json:"planner"`
-	PlannerEpoch  int64                    `json:"planner-epoch"`
-	Blocks        int                      `json:"blocks"`
+	// Planners are the planners that the asked instance has seen.
+	Planners []PlannerStatus `json:"planners"`
+	Blocks   int             `json:"blocks"`
 	// ListAgeMs is the age of the platform's list, in milliseconds.
 	ListAgeMs int64                  `json:"list-age-ms"`
 	Classes   []VersionedClass       `json:"classes"`
@@ -26,6 +26,13 @@
 	Pools     []PoolStatus           `json:"pools"`
 }
 
+// PlannerStatus tells who holds the planner's lease of a service.
+type PlannerStatus struct {
+	Service string `json:"service"`
+	Holder  string `json:"holder"`
+	Epoch   int64  `json:"epoch"`
+}
+
 // VersionedClass is a class with the version of its row.
 type VersionedClass struct {
 	Version int64            `json:"version"`
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -59,24 +59,6 @@
 	return m
 }
 
-// FromChanges returns the wire form of changes.
-func FromChanges(c lovageyard.Changes) *wire.Changes {
-	w := &wire.Changes{After: c.After, To: c.To}
-	for _, r := range c.Rows {
-		w.Rows = append(w.Rows, &wire.Row{Table: r.Table, Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted})
-	}
-	return w
-}
-
-// ToChanges returns the changes of a wire message.
-func ToChanges(w *wire.Changes) lovageyard.Changes {
-	c := lovageyard.Changes{After: w.GetAfter(), To: w.GetTo()}
-	for _, r := range w.GetRows() {
-		c.Rows = append(c.Rows, lovageyard.Row{Table: r.GetTable(), Key: r.GetKey(), Version: r.GetVersion(), Value: r.GetValue(), Deleted: r.GetDeleted()})
-	}
-	return c
-}
-
 // FromApplied returns the wire form of the placement that is applied for a class.
 func FromApplied(class string, a move.Applied) *wire.Applied {
 	w := &wire.Applied{Class: class, Step: a.Step}
