--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -273,6 +273,7 @@
 				}
 			}
 			w.Header().Set("X-Host", r.Host)
+			w.Header().Set("X-Through", r.Header.Get("X-Forwarded-For"))
 			w.Header().Set("X-Query", r.URL.RawQuery)
 			w.Header().Set("X-Trailer", r.Trailer.Get("X-Sum"))
 			_, _ = w.Write(body)
@@ -306,6 +307,7 @@
 
 	response, body := do(http.MethodPost, "/lookups/echo?a=1;b", io.MultiReader(strings.NewReader("chunked")), func(r *http.Request) {
 		r.Host = "desk.example"
+		r.Header.Set("X-Forwarded-For", "192.0.2.1")
 		r.Header.Set("Connection", "X-Hop")
 		r.Header.Set("X-Hop", "1")
 		r.Header.Set("Te", "trailers")
@@ -315,6 +317,7 @@
 	c.Assert(body, qt.Equals, "chunked")
 	c.Assert(response.Header["X-Leaked"], qt.IsNil)
 	c.Assert(response.Header.Get("X-Host"), qt.Equals, "desk.example")
+	c.Assert(response.Header.Get("X-Through"), qt.Equals, "192.0.2.1, 127.0.0.1")
 	c.Assert(response.Header.Get("X-Query"), qt.Equals, "a=1;b")
 	c.Assert(response.Header.Get("X-Trailer"), qt.Equals, "7")
 	c.Assert(response.Header.Get(lovageyard.SiteHeader), qt.Equals, "near")
@@ -386,6 +389,10 @@
 	<-began
 	conn.Close()
 	<-cancelled
+	for r.pool.Census(time.Now()).InFlight > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(r.pool.Census(time.Now()).Suspects, qt.HasLen, 0)
 }
 
 func TestLeavingServerIsPassedOn(t *testing.T) {
@@ -539,3 +546,30 @@
 func (zeros) Read(b []byte) (int, error) {
 	return len(b), nil
 }
+
+// TestImpatientCallersMakeNoSuspects cancels requests, and sends ones with hardly any time.
+func TestImpatientCallersMakeNoSuspects(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		deadline string
+		suspect  bool
+	}{
+		{"short deadline", "30", false},
+		{"silent for long", "3000", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t, newBackend(t, func(_ http.ResponseWriter, r *http.Request) {
+				<-r.Context().Done()
+			}))
+			request, err := http.NewRequest(http.MethodGet, r.front.URL+"/lookups/1", nil)
+			c.Assert(err, qt.IsNil)
+			request.Header.Set(lovageyard.DeadlineHeader, test.deadline)
+			response, err := r.client.Do(request)
+			c.Assert(err, qt.IsNil)
+			response.Body.Close()
+			c.Assert(response.StatusCode >= 500, qt.IsTrue)
+			c.Assert(len(r.pool.Census(time.Now()).Suspects) > 0, qt.Equals, test.suspect)
+		})
+	}
+}
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -23,6 +23,13 @@
 // maxAttempts bounds the attempts at one request.
 const maxAttempts = 3
 
+// A server that does not answer is suspected after patienceMeans mean answer times of
+// its pool, and not before leastPatience.
+const (
+	patienceMeans = 8
+	leastPatience = 500 * time.Millisecond
+)
+
 // statusClientGone is logged for a request whose caller went away.
 const statusClientGone = 499
 
@@ -206,7 +213,9 @@
 	response, err := x.handler.backend.Send(x.outgoing(ctx), x.slot.Server)
 	if err != nil {
 		x.release(started, lovageyard.Answer{Failed: true})
-		x.choice.Pool.Suspect(x.slot.Server.Name)
+		if x.isServersFault(ctx, started) {
+			x.choice.Pool.Suspect(x.slot.Server.Name)
+		}
 		return x.failed(err)
 	}
 	defer response.Body.Close()
@@ -228,6 +237,19 @@
 	return failure
 }
 
+// isServersFault says whether a failed attempt speaks against the server: not if the
+// caller went away, and not if it left the server too little time.
+func (x *exchange) isServersFault(ctx context.Context, started time.Time) bool {
+	if x.request.Context().Err() == context.Canceled {
+		return false
+	}
+	if ctx.Err() == nil {
+		return true
+	}
+	patience := max(leastPatience, patienceMeans*x.slot.Mean)
+	return x.handler.timer.Now().Sub(started) >= patience
+}
+
 // notRun says whether a backend server's answer says that it did not run the request.
 func notRun(r *http.Response) bool {
 	return r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(lovageyard.VerdictHeader) == string(lovageyard.VerdictNotRun)
@@ -267,6 +289,7 @@
 	out.RequestURI = ""
 	out.Header = endToEnd(x.request.Header)
 	out.Header.Del("Expect")
+	addForwardedFor(out.Header, x.request)
 	if out.Header.Get("User-Agent") == "" {
 		// An absent header would make the transport name itself.
 		out.Header["User-Agent"] = nil
--- a/caller/headers.go
+++ b/caller/headers.go
@@ -38,3 +38,13 @@
 		to[name] = append([]string(nil), values...)
 	}
 }
+
+// addForwardedFor adds the caller's address to the list of those that the request came through.
+func addForwardedFor(h http.Header, r *http.Request) {
+	address := remoteAddr(r)
+	if !address.IsValid() {
+		return
+	}
+	through := append(h.Values("X-Forwarded-For"), address.Unmap().String())
+	h.Set("X-Forwarded-For", strings.Join(through, ", "))
+}
--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -125,7 +125,11 @@
 	for n := range homes {
 		h := lovageyard.HomePlacement{FailureDomain: domainName(n), Buckets: make([]int, lovageyard.Buckets)}
 		for b := range h.Buckets {
-			h.Buckets[b] = (n + b%2) % sites
+			// A third of the buckets have been moved somewhere.
+			h.Buckets[b] = n % sites
+			if b%3 == 0 {
+				h.Buckets[b] = (n*7 + b*11) % sites
+			}
 		}
 		p.Homes = append(p.Homes, h)
 	}
@@ -163,21 +167,20 @@
 func demandReport(classes int) *wire.DemandReport {
 	r := &wire.DemandReport{FailureDomain: domainName(0), Reporter: "entry-00001"}
 	for n := range classes {
-		h := &wire.HomeDemand{FailureDomain: domainName(0), Buckets: make([]float32, lovageyard.Buckets)}
-		for b := range h.Buckets {
-			h.Buckets[b] = float32(b) + 0.1
-		}
+		h := &wire.HomeDemand{FailureDomain: domainName(0), Buckets: make([]byte, lovageyard.Buckets)}
 		r.Classes = append(r.Classes, &wire.ClassDemand{Class: fmt.Sprintf("class-%03d", n), Homes: []*wire.HomeDemand{h}})
 	}
 	return r
 }
 
-func jsonSize(value any) float64 {
+// rowSize returns the bytes that a row takes between peers.
+func rowSize(value any) float64 {
 	data, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
-	return float64(len(data))
+	row := lovageyard.Row{Table: lovageyard.TablePlans, Key: "class", Version: 1, Value: data}
+	return float64(proto.Size(peer.FromChanges(lovageyard.Changes{To: 1, Rows: []lovageyard.Row{row}})))
 }
 
 // costs returns the costs to measure.
@@ -221,6 +224,13 @@
 			list := instances(n)
 			return nanoseconds(func() { instance.NewDirectory(list) })
 		}},
+		{name: "choice of members to pass on", per: "instance", unit: "ns", sizes: []int{175, 350, 700, 1400}, at: func(n int) float64 {
+			t := instance.NewTable(members(1)[0], time.Unix(1000, 0))
+			for _, m := range members(n) {
+				t.Hear(m, time.Unix(1000, 0))
+			}
+			return nanoseconds(func() { t.Gossip(membersInOne, time.Unix(2000, 0)) })
+		}},
 		{name: "members in an exchange", per: "member passed on", unit: "bytes sent", sizes: []int{8, 16, 32, 64}, at: func(n int) float64 {
 			r := &wire.ExchangeRequest{}
 			for _, m := range members(n) {
@@ -239,7 +249,14 @@
 			return float64(proto.Size(demandReport(n)))
 		}},
 		{name: "row of a plan", per: "home failure domain", unit: "bytes sent", sizes: []int{8, 16, 32, 64}, at: func(n int) float64 {
-			return jsonSize(plan(n, 64))
+			return rowSize(plan(n, 64))
+		}},
+		{name: "row of a plan in memory", per: "home failure domain", unit: "bytes of heap", sizes: []int{8, 16, 32, 64}, at: func(n int) float64 {
+			p := plan(n, 64)
+			return heapBytes(func() []byte {
+				data, _ := json.Marshal(p)
+				return data
+			})
 		}},
 		{name: "decoding of a plan", per: "home failure domain", unit: "ns", sizes: []int{8, 16, 32, 64}, at: func(n int) float64 {
 			data, err := json.Marshal(plan(n, 64))
--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -17,25 +17,29 @@
 	// classes and movingClasses are assumptions: the letter names no number.
 	classes       = 100
 	movingClasses = 10
+	services      = 40
 	// Rates and sizes of the code as it is.
 	ticks           = 2.0
 	polls           = 2.0
 	lists           = 1.0
-	reports         = 1.0
+	blockReads      = 0.1
+	reportSeconds   = 5.0
 	exchangesOut    = 3.0
-	membersInOne    = 64
-	rounds          = 1.0
+	membersInOne    = 16.0
+	stepsInOne      = membersInOne / 2 * movingClasses
 	relaysInDomain  = 2.0
-	livesPerTick    = 1
+	planCandidates  = 2.0
+	rounds          = 1.0
 	publishesASec   = 1.0
-	leaseCalls      = 2.0 / 1.0
-	secondsADay     = 86400
-	byteBudget      = 5000
+	secondsADay     = 86400.0
+	byteBudget      = 5.0
 	processorBudget = 1.0
-	memoryBudget    = 256e6
-	readBudget      = 2000
-	writeBudget     = 300
+	memoryBudget    = 256.0
+	readBudget      = 2000.0
+	writeBudget     = 300.0
 	nanosPerPercent = 1e7
+	bytesPerKB      = 1e3
+	bytesPerMB      = 1e6
 )
 
 // need is one row of the table of a role.
@@ -74,59 +78,63 @@
 }
 
 func exchangeBytes(b costBook) float64 {
-	members := b.at("members in an exchange", membersInOne)
-	steps := membersInOne * movingClasses * b["steps of one member"].slope
-	return members + steps
+	return b.at("members in an exchange", membersInOne) + stepsInOne*b["steps of one member"].slope
 }
 
 func entry(b costBook) []need {
 	lookUp := b.at("look-up of a block", blocks) + b.at("ranking of instances", nodesInDomain)
 	memory := b.at("table of blocks", blocks) + b.at("table of members", nodes) +
-		3*classes*b.at("applied placement of a class", domains) + classes*b.at("row of a plan", domains)
-	tick := livesPerTick*b.at("list of live members", nodes) + b.at("directory for look-ups", nodes)
+		3*classes*b.at("applied placement of a class", domains) + classes*b.at("row of a plan in memory", domains)
 	change := classes*b.at("decoding of a plan", domains) + classes*b.at("copy of an applied placement", domains)
-	perSecond := ticks*tick + publishesASec*classes*b.at("copy of an applied placement", domains) + change*changesADay/secondsADay
-	sent := exchangesOut*exchangeBytes(b) + reports*b.at("report of demand", classes)
+	perSecond := exchangesOut*b.at("choice of members to pass on", nodes) +
+		publishesASec*(classes*b.at("copy of an applied placement", domains)+b.at("directory for look-ups", nodes)) +
+		change*changesADay/secondsADay
+	sent := exchangesOut*exchangeBytes(b) + b.at("report of demand", classes)/reportSeconds
 	return []need{
 		{"look-up itself", lookUp, "ns", 1000, "look-up of a block, ranking of instances"},
 		{"look-ups", lookUps / nodes, "a second", 0, "the letter's figures"},
-		{"memory for control", memory / 1e6, "MB", memoryBudget / 1e6, "tables of blocks and members, three copies of the placements, rows of plans"},
-		{"processor for control", perSecond / nanosPerPercent, "% of a core", processorBudget, "two ticks a second, one snapshot a second while classes move, 6300 changes a day"},
-		{"bytes sent for control", sent / 1000, "KB a second", byteBudget / 1000.0, "three exchanges and one report a second"},
+		{"memory for control", memory / bytesPerMB, "MB", memoryBudget, "tables of blocks and members, three copies of the placements, rows of plans"},
+		{"processor for control", perSecond / nanosPerPercent, "% of a core", processorBudget, "three exchanges a second, one snapshot a second while classes move, 6300 changes a day"},
+		{"bytes sent for control", sent / bytesPerKB, "KB a second", byteBudget, "three exchanges a second, a report each 5 s"},
 	}
 }
 
 func relay(b costBook) []need {
 	change := b.at("row of a plan", domains)
 	served := nodesInDomain * exchangeBytes(b)
+	merged := planCandidates * b.at("report of demand", classes) / reportSeconds
 	return []need{
-		{"reads at the platform", polls + lists + 0.1, "a second", 0, "two polls, one list, the blocks each 10 s"},
-		{"bytes of changes passed on", nodesInDomain * change * changesADay / secondsADay / 1000, "KB a second", byteBudget / 1000.0, "a changed plan to each node of the failure domain, shared by two relays at the most"},
-		{"bytes answered in exchanges", served / 1000, "KB a second", byteBudget / 1000.0, "one exchange a second of each node of the failure domain"},
+		{"reads at the platform", polls + lists + blockReads, "a second", 0, "two polls, one list, the blocks each 10 s"},
+		{"bytes of changes passed on", nodesInDomain / relaysInDomain * change * changesADay / secondsADay / bytesPerKB, "KB a second", byteBudget, "a changed plan to each node of the failure domain, shared by two relays"},
+		{"bytes answered in exchanges", served / bytesPerKB, "KB a second", byteBudget, "one exchange a second of each node of the failure domain"},
+		{"bytes of merged reports", merged / bytesPerKB, "KB a second", byteBudget, "each class to two candidates, each 5 s"},
 	}
 }
 
 func planner(b costBook) []need {
 	quiet := b.at("round of placement, nothing to move", sites)
 	busy := b.at("round of placement, one site drains", sites)
-	perSecond := rounds * ((classes-movingClasses)*quiet + movingClasses*busy)
+	perSecond := rounds * ((classes-movingClasses)*quiet + movingClasses*busy) / services
 	return []need{
-		{"processor for rounds", perSecond / nanosPerPercent, "% of a core", processorBudget, "one round a second for each class, a tenth of them moving"},
-		{"bytes of reports received", domains * reports * b.at("report of demand", classes) / 1000, "KB a second", byteBudget / 1000.0, "one merged report a second of each failure domain"},
+		{"processor for rounds", perSecond / nanosPerPercent, "% of a core", processorBudget, "one round a second for each class of one service, a tenth of them moving"},
+		{"bytes of reports received", domains * b.at("report of demand", classes/float64(services)) / reportSeconds / bytesPerKB, "KB a second", byteBudget, "one merged report of each failure domain each 5 s"},
 	}
 }
 
 func platform() []need {
-	reads := domains * relaysInDomain * (polls + lists + 0.1 + 1)
+	reads := domains*relaysInDomain*(polls+lists+blockReads) + services*planCandidates*rounds
+	writes := changesADay/secondsADay + movingClasses*0.1 + services*rounds
 	return []need{
-		{"reads", reads, "a second", readBudget / 2, "two relays in each failure domain: polls, lists, blocks, lease"},
-		{"writes for configuration and plans", changesADay/secondsADay + movingClasses*0.1 + 1, "a second", writeBudget / 2, "6300 changes a day, restated moves, renewals of the lease"},
-		{"charges that fit", (writeBudget / 2) / 2, "a second", 0, "two writes for each charge in half of the writes"},
+		{"reads", reads, "a second", readBudget / 2, "two relays in each failure domain: polls, lists, blocks; two candidates for each lease"},
+		{"writes for configuration and plans", writes, "a second", writeBudget / 2, "6300 changes a day, restated moves, a renewal a second of each service's lease"},
+		{"charges that fit", (writeBudget/2 - writes) / 2, "a second", 0, "two writes for each charge in what is left of half of the writes"},
 	}
 }
 
 func client(b costBook) []need {
+	const classBytes, poolBytes = 200, 150
+	bytes := classes*classBytes + nodes*b.at("members in an exchange", 1) + sites*poolBytes
 	return []need{
-		{"answer of status", (classes*200 + nodes*b.at("members in an exchange", 1) + sites*150) / 1000, "KB", 0, "classes, instances and pools, one object each"},
+		{"answer of status", bytes / bytesPerKB, "KB", 0, "classes, instances and pools, one object each"},
 	}
 }
--- a/control/control.go
+++ b/control/control.go
@@ -30,8 +30,13 @@
 	listEvery   = time.Second
 	blocksEvery = 10 * time.Second
 	planEvery   = time.Second
-	reportEvery = 2 * time.Second
-	probeEvery  = 2 * time.Second
+	// reportEvery is the least period of reports of demand; each class adds reportPerClass,
+	// so that many classes cost no more than a few.
+	reportEvery    = 2 * time.Second
+	reportPerClass = 50 * time.Millisecond
+	probeEvery     = 2 * time.Second
+	// probeElsewhereEvery is the period of probes of other failure domains' servers.
+	probeElsewhereEvery = 10 * time.Second
 	// adoptPatience is how long an instance waits for a peer to tell what is applied.
 	adoptPatience = 3 * time.Second
 	// staleAfter is the time without word from a relay after which an instance reads the platform itself.
@@ -236,7 +241,7 @@
 	if c.every("probe", probeEvery, now) {
 		c.probe(now)
 	}
-	if c.every("report", reportEvery, now) {
+	if c.every("report", c.reportPeriod(), now) {
 		c.sendReport(now)
 	}
 	if c.isRelay() && c.every("plan", planEvery, now) {
@@ -244,6 +249,10 @@
 	}
 }
 
+func (c *Control) reportPeriod() time.Duration {
+	return max(reportEvery, time.Duration(len(c.index.All()))*reportPerClass)
+}
+
 // isRelay says whether this instance reads the platform for its failure domain.
 func (c *Control) isRelay() bool {
 	for _, name := range c.relays() {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net/http"
 	"net/netip"
 	"sync"
 	"testing"
@@ -136,6 +137,14 @@
 	return err
 }
 
+func (p port) Send(*http.Request, lovageyard.BackendServer) (*http.Response, error) {
+	return nil, errors.New("no traffic in these tests")
+}
+
+func (p port) Probe(context.Context, lovageyard.BackendServer) (lovageyard.LoadReport, error) {
+	return lovageyard.LoadReport{Slots: 8}, p.fault()
+}
+
 func (p port) Record(lovageyard.Decision) {}
 
 // start runs an instance; its name is its address, and its failure domain the name's start.
@@ -148,7 +157,7 @@
 	logger.SetOutput(io.Discard)
 	p := port{Store: y.store, yard: y, name: name}
 	c := New(Settings{
-		Self: self, Table: p, Objects: y.store, Instances: p, Peers: p, Timer: y.clock, Recorder: p,
+		Self: self, Table: p, Objects: y.store, Instances: p, Backend: p, Peers: p, Timer: y.clock, Recorder: p,
 		Logger: logger, Metrics: metrics.NewRegistry(), KeepFor: time.Second, Headroom: 0.2,
 		SeedPeers: []string{"a1-1", "a1-2"},
 		Pool:      server.Settings{Mode: server.Shared, QueuePerSlot: 1},
@@ -396,3 +405,25 @@
 	})
 	y.c.Assert(took <= 3*time.Second, qt.IsTrue, qt.Commentf("took %s", took))
 }
+
+// TestSuspectsAreProbedEverywhere checks that no instance suspects a server for ever.
+func TestSuspectsAreProbedEverywhere(t *testing.T) {
+	y := newYard(t)
+	y.startAll()
+	y.put("lookups", 0.5)
+	y.until("placement", func() bool { return y.placed("lookups", everyone...) })
+	for _, name := range everyone {
+		y.controls[name].Snapshot().Work("lookups").Sites[2].Pool.Suspect("b1-desk")
+		y.controls[name].Snapshot().Work("lookups").Sites[0].Pool.Suspect(name[:2] + "-desk")
+	}
+	y.until("probes lift the suspicion", func() bool {
+		for _, name := range everyone {
+			for _, p := range y.status(name).Pools {
+				if p.Takers == 0 {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
--- a/control/pools.go
+++ b/control/pools.go
@@ -147,12 +147,12 @@
 	c.exchangeAll(c.settings.Timer.Now())
 }
 
-// probe asks the suspect and the leaving servers of the own failure domain how they are.
-// Suspects elsewhere are probed too, by relays only.
+// probe asks the suspect and the leaving servers how they are: those of the own failure
+// domain often, as they are close, and others now and then.
 func (c *Control) probe(now time.Time) {
-	relay := c.isRelay()
+	elsewhere := c.every("probe elsewhere", probeElsewhereEvery, now)
 	for k, p := range c.pools {
-		if p.failureDomain != c.self.FailureDomain && !relay {
+		if p.failureDomain != c.self.FailureDomain && !elsewhere {
 			continue
 		}
 		census := p.Census(now)
--- a/control/report.go
+++ b/control/report.go
@@ -14,7 +14,7 @@
 // Rules for reports of demand.
 const (
 	// reportFor is the age up to which a report counts.
-	reportFor = 10 * time.Second
+	reportFor = 15 * time.Second
 	// reportForget is the age at which a report is dropped.
 	reportForget = time.Minute
 )
@@ -113,13 +113,8 @@
 func (w *work) report() *wire.ClassDemand {
 	d := &wire.ClassDemand{Class: w.class.Name}
 	for _, r := range w.rates {
-		home := &wire.HomeDemand{FailureDomain: r.failureDomain}
-		busy := false
-		for _, rate := range r.rates {
-			home.Buckets = append(home.Buckets, float32(rate))
-			busy = busy || rate > 0
-		}
-		if busy {
+		home := &wire.HomeDemand{FailureDomain: r.failureDomain, Buckets: peer.FromRates(r.rates[:])}
+		if slices.ContainsFunc(home.GetBuckets(), func(b byte) bool { return b > 0 }) {
 			d.Homes = append(d.Homes, home)
 		}
 	}
@@ -208,9 +203,9 @@
 			buckets = new([lovageyard.Buckets]float64)
 			s.homes[h.GetFailureDomain()] = buckets
 		}
-		for b, rate := range h.GetBuckets() {
+		for b, rate := range peer.ToRates(h.GetBuckets()) {
 			if b < len(buckets) {
-				buckets[b] += float64(rate)
+				buckets[b] += rate
 			}
 		}
 	}
@@ -219,11 +214,7 @@
 func (s *demandSum) wire(class string) *wire.ClassDemand {
 	d := &wire.ClassDemand{Class: class}
 	for name, buckets := range s.homes {
-		home := &wire.HomeDemand{FailureDomain: name}
-		for _, rate := range buckets {
-			home.Buckets = append(home.Buckets, float32(rate))
-		}
-		d.Homes = append(d.Homes, home)
+		d.Homes = append(d.Homes, &wire.HomeDemand{FailureDomain: name, Buckets: peer.FromRates(buckets[:])})
 	}
 	return d
 }
--- a/peer/changes_test.go
+++ b/peer/changes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -48,3 +49,15 @@
 	bad.Homes[0].Cells[5].Site = 99
 	c.Assert(ToApplied(bad).Homes, qt.HasLen, 0)
 }
+
+func TestRatesKeepTheirSize(t *testing.T) {
+	c := qt.New(t)
+	var rates []float64
+	for rate := 0.01; rate < 20000; rate *= 1.07 {
+		rates = append(rates, rate)
+	}
+	for i, got := range ToRates(FromRates(rates)) {
+		c.Assert(math.Abs(got-rates[i]) <= 0.03*rates[i], qt.IsTrue, qt.Commentf("%v became %v", rates[i], got))
+	}
+	c.Assert(ToRates(FromRates([]float64{0, 1e-9, 1e9}))[:2], qt.DeepEquals, []float64{0, 0})
+}
--- a/placement/round.go
+++ b/placement/round.go
@@ -11,7 +11,7 @@
 // Rules of placement.
 const (
 	// FreshFor is the age up to which a measurement is taken at its word.
-	FreshFor = 5 * time.Second
+	FreshFor = 12 * time.Second
 	// StaleAfter is the age from which on a site gains no work.
 	StaleAfter = 30 * time.Second
 	// maxMargin is the share of capacity held back from a site whose measurement is about to be stale.
--- a/server/model_test.go
+++ b/server/model_test.go
@@ -289,10 +289,12 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			busy := test.make(Shared, 0.8)
+			busy.requests = 20000
 			got, ideal := busy.run(), busy.ideal()
 			c.Assert(got.p(99) <= 1.5*ideal.p(99), qt.IsTrue, qt.Commentf("p99 %v ms, ideal %v ms", got.p(99), ideal.p(99)))
 			c.Assert(got.shed, qt.Equals, 0)
 			over := test.make(Shared, 1.3)
+			over.requests = 20000
 			got = over.run()
 			rate := float64(got.answered) / got.span.Seconds()
 			capacity := float64(over.servers*over.slots) / over.mean.Seconds()
--- a/server/pool.go
+++ b/server/pool.go
@@ -37,6 +37,8 @@
 	Err        *lovageyard.RequestError
 	// RetryAfter is when a refused caller should come back.
 	RetryAfter time.Duration
+	// Mean is the mean answer time of the pool so far.
+	Mean time.Duration
 
 	member *member
 }
@@ -265,7 +267,7 @@
 
 func (p *Pool) send(m *member) Result {
 	m.inFlight++
-	return Result{Server: m.BackendServer, InFlight: m.inFlight, Candidates: p.takers(), member: m}
+	return Result{Server: m.BackendServer, InFlight: m.inFlight, Candidates: p.takers(), Mean: p.mean, member: m}
 }
 
 func (p *Pool) refuse(reason string) Result {
