Rows are decoded once, placements copied when they change; tables of capacity

Change: a decoded value is kept for each row's version; the published placement is kept until its stepper changes it.

--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -85,9 +85,9 @@
 	lookUp := b.at("look-up of a block", blocks) + b.at("ranking of instances", nodesInDomain)
 	memory := b.at("table of blocks", blocks) + b.at("table of members", nodes) +
 		3*classes*b.at("applied placement of a class", domains) + classes*b.at("row of a plan in memory", domains)
-	change := classes*b.at("decoding of a plan", domains) + classes*b.at("copy of an applied placement", domains)
+	change := b.at("decoding of a plan", domains) + b.at("copy of an applied placement", domains)
 	perSecond := exchangesOut*b.at("choice of members to pass on", nodes) +
-		publishesASec*(classes*b.at("copy of an applied placement", domains)+b.at("directory for look-ups", nodes)) +
+		publishesASec*(movingClasses*b.at("copy of an applied placement", domains)+b.at("directory for look-ups", nodes)) +
 		change*changesADay/secondsADay
 	sent := exchangesOut*exchangeBytes(b) + b.at("report of demand", classes)/reportSeconds
 	return []need{
--- a/configuration/state.go
+++ b/configuration/state.go
@@ -24,6 +24,13 @@
 type State struct {
 	version int64
 	rows    map[rowKey]lovageyard.Row
+	decoded map[rowKey]decodedRow
+}
+
+// decodedRow keeps a row's decoded value until the row changes.
+type decodedRow struct {
+	version int64
+	value   any
 }
 
 type rowKey struct {
@@ -33,7 +40,10 @@
 
 // NewState returns a state at version 0 without rows.
 func NewState() *State {
-	return &State{rows: make(map[rowKey]lovageyard.Row)}
+	return &State{
+		rows:    make(map[rowKey]lovageyard.Row),
+		decoded: make(map[rowKey]decodedRow),
+	}
 }
 
 // Version returns the version up to which the state holds every change.
@@ -119,10 +129,23 @@
 	})
 	values := make([]T, 0, len(rows))
 	for _, row := range rows {
-		var value T
-		if json.Unmarshal(row.Value, &value) == nil {
+		if value, ok := decode[T](s, row); ok {
 			values = append(values, value)
 		}
 	}
 	return values
 }
+
+// decode returns a row's value; it decodes a row once for each version.
+func decode[T any](s *State, row lovageyard.Row) (value T, ok bool) {
+	k := rowKey{table: row.Table, key: row.Key}
+	if known, found := s.decoded[k]; found && known.version == row.Version {
+		value, ok = known.value.(T)
+		return value, ok
+	}
+	if json.Unmarshal(row.Value, &value) != nil {
+		return value, false
+	}
+	s.decoded[k] = decodedRow{version: row.Version, value: value}
+	return value, true
+}
--- a/configuration/state_test.go
+++ b/configuration/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -68,3 +69,42 @@
 		c.Assert(copied.Version(), qt.Equals, int64(20))
 	}
 }
+
+func BenchmarkPlansAfterOneChange(b *testing.B) {
+	for _, classes := range []int{25, 50, 100} {
+		b.Run(strconv.Itoa(classes), func(b *testing.B) {
+			s := NewState()
+			value := planValue(b)
+			for n := range classes {
+				row := lovageyard.Row{Table: lovageyard.TablePlans, Key: strconv.Itoa(n), Version: int64(n + 1), Value: value}
+				if _, err := s.Apply(lovageyard.Changes{After: int64(n), To: int64(n + 1), Rows: []lovageyard.Row{row}}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			s.Plans()
+			for b.Loop() {
+				next := s.Version() + 1
+				row := lovageyard.Row{Table: lovageyard.TablePlans, Key: "0", Version: next, Value: value}
+				if _, err := s.Apply(lovageyard.Changes{After: next - 1, To: next, Rows: []lovageyard.Row{row}}); err != nil {
+					b.Fatal(err)
+				}
+				if len(s.Plans()) != classes {
+					b.Fatal("a plan is missing")
+				}
+			}
+		})
+	}
+}
+
+// planValue returns a plan of 64 home failure domains.
+func planValue(b *testing.B) []byte {
+	p := lovageyard.ClassPlan{Class: "class", Step: 1, Sites: []string{"one", "two"}}
+	for n := range 64 {
+		p.Homes = append(p.Homes, lovageyard.HomePlacement{FailureDomain: strconv.Itoa(n), Buckets: make([]int, lovageyard.Buckets)})
+	}
+	value, err := json.Marshal(p)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return value
+}
--- a/control/publish.go
+++ b/control/publish.go
@@ -8,6 +8,7 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/instance"
+	"lovageyard.example/lovageyard/move"
 	"lovageyard.example/lovageyard/route"
 )
 
@@ -47,7 +48,7 @@
 		Counts: w.counts,
 	}
 	if w.stepper.Adopted() {
-		r.Homes = w.stepper.Applied().Homes
+		r.Homes = w.published()
 	}
 	for _, k := range c.sortedPools() {
 		if k.service != w.class.Service {
@@ -71,6 +72,16 @@
 	return poolKey{service: w.class.Service, site: s.Name}
 }
 
+// published returns a copy of the applied placement that is made anew only when the
+// stepper has changed it.
+func (w *work) published() []move.Home {
+	if generation := w.stepper.Generation(); w.homes == nil || w.generation != generation {
+		w.homes = w.stepper.Applied().Homes
+		w.generation = generation
+	}
+	return w.homes
+}
+
 // distance ranks a pool: 0 in the own failure domain, 1 in the own region, else 2.
 func (c *Control) distance(k poolKey) int {
 	p := c.pools[k]
--- a/control/works.go
+++ b/control/works.go
@@ -30,6 +30,9 @@
 	// rested is the plan step, and restedHomes the number of its homes, that were found applied in full.
 	rested      int64
 	restedHomes int
+	// homes is the placement in the snapshot, copied at the stepper's generation.
+	homes      []move.Home
+	generation uint64
 }
 
 // homeRate is the measured demand of one home failure domain, in requests a second.
--- a/move/stepper.go
+++ b/move/stepper.go
@@ -48,6 +48,8 @@
 	adopted   bool
 	moving    bool
 	steppedAt time.Time
+	// generation grows with each change of what is applied.
+	generation uint64
 }
 
 // NewStepper returns a Stepper without a placement; Adopt gives it one.
@@ -63,6 +65,11 @@
 	return s.gate
 }
 
+// Generation grows with each change of what Applied returns.
+func (s *Stepper) Generation() uint64 {
+	return s.generation
+}
+
 // Adopted says whether the stepper has a placement.
 func (s *Stepper) Adopted() bool {
 	return s.adopted
@@ -80,6 +87,7 @@
 		return
 	}
 	s.adopted = true
+	s.generation++
 	s.applied = a.Clone()
 	s.steppedAt = now
 	s.moving = s.anyMoving()
@@ -118,6 +126,15 @@
 		return false
 	}
 	s.gate.Set(s.target.Cap, d.Total)
+	before := s.applied.Step
+	changed := s.tick(now, d, level)
+	if changed || before != s.applied.Step {
+		s.generation++
+	}
+	return changed
+}
+
+func (s *Stepper) tick(now time.Time, d Demand, level bool) bool {
 	changed := s.addHomes()
 	if s.moving {
 		if !s.intervalOver(now) || !level {
