Charges under faults, with real processes

Cause: at most once was shown within one process only.

Change: an integration test repeats charges with their keys, at one instance after the other, while an instance is killed or frozen, or the platform is down, slow or loses its answers. A first form of the test took the last request's verdict for the key's: after a request that was cut, a repeat refused as not run while the platform was down was counted as a charge that had not run, although the first had.

--- a/charge/book.go
+++ b/charge/book.go
@@ -23,6 +23,9 @@
 	backlogSize  = 4096
 )
 
+// reasonUnclaimed tells a caller what its verdict does and does not say.
+const reasonUnclaimed = "the key could not be claimed, so that this request was not sent; of earlier requests with the key nothing is known now"
+
 // Errors of Claim, besides a *lovageyard.RequestError.
 var (
 	// ErrOtherRequest reports a key that another request has used.
@@ -111,7 +114,7 @@
 	case errors.As(err, &conflict):
 		return nil, conflict.Row, nil
 	case !errors.Is(err, lovageyard.ErrUnknownOutcome):
-		return nil, none, lovageyard.NotRun("the claim could not be written", err)
+		return nil, none, lovageyard.NotRun(reasonUnclaimed, err)
 	}
 	return b.readBack(ctx, c, err)
 }
@@ -138,7 +141,7 @@
 		return nil, row, nil
 	}
 	b.later(write{held: &Held{Claim: c}, event: eventRelease, since: b.timer.Now()})
-	return nil, none, lovageyard.NotRun("it is not known whether the claim was written", lost)
+	return nil, none, lovageyard.NotRun(reasonUnclaimed, lost)
 }
 
 // judge answers a request whose key another request has claimed.
--- a/integration/charge_test.go
+++ b/integration/charge_test.go
@@ -29,27 +29,27 @@
 	client *http.Client
 
 	mu sync.Mutex
-	// fates counts the charges by the last verdict, or "" for an answered one.
+	// fates counts the charges by what a payer knows in the end: "" for an answered one,
+	// not-run if each of its requests was refused as that, and else may-have-run.
 	fates map[lovageyard.Verdict]int
-	// notRun are the keys whose last verdict was not-run.
+	// notRun are the keys that ended as not-run.
 	notRun []string
 }
 
 // pay sends one charge; it gives up after a number of tries.
 func (p *payer) pay(key string) {
 	const tries = 6
-	verdict := lovageyard.VerdictMayHaveRun
+	verdict := lovageyard.VerdictNotRun
 	for try := range tries {
 		status, said, err := p.try(p.yard.entries[try%len(p.yard.entries)], key)
-		if err != nil {
-			verdict = lovageyard.VerdictMayHaveRun
-			continue
-		}
-		verdict = said
-		if status == http.StatusOK {
+		if err == nil && status == http.StatusOK {
 			verdict = ""
 			break
 		}
+		// A verdict speaks of one request: one that may have run is not undone by the next.
+		if err != nil || said != lovageyard.VerdictNotRun {
+			verdict = lovageyard.VerdictMayHaveRun
+		}
 		time.Sleep(pollEvery)
 	}
 	p.mu.Lock()
