Gates follow the demand while nothing moves

Cause: a class at rest was left out of the steps, and with it the setting of its gates: a failover met a gate that was set to an earlier demand (half of the cap, for a class that had none when it was placed). An unheard instance whose listed address changed kept its place in the kept list of live ones.

Change: gates are set with each measurement; a changed listing drops the kept list.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -427,3 +427,30 @@
 		return true
 	})
 }
+
+// TestFailoverUsesTheCapAtRest loses a site while nothing moves, and counts the requests
+// that go elsewhere: as many as the cap allows of the present demand, not of an earlier one.
+func TestFailoverUsesTheCapAtRest(t *testing.T) {
+	y := newYard(t)
+	y.startAll()
+	y.put("lookups", 0.5)
+	y.until("placement", func() bool { return y.placed("lookups", everyone...) })
+	c := y.controls["a1-1"]
+	place, home := c.Snapshot().Place(netip.MustParseAddr("192.0.2.1"))
+	const rounds, perRound = 150, 20
+	forced := 0
+	for n := range rounds {
+		work := c.Snapshot().Work("lookups")
+		for range perRound {
+			work.Count(place, home)
+			if n >= rounds/2 && work.Gate.TakeForced() {
+				forced++
+			}
+		}
+		y.clock.Advance(testStep)
+		y.settle()
+	}
+	asked := rounds / 2 * perRound
+	y.c.Assert(forced <= asked/2+1, qt.IsTrue, qt.Commentf("%d of %d", forced, asked))
+	y.c.Assert(forced >= asked*2/5, qt.IsTrue, qt.Commentf("%d of %d", forced, asked))
+}
--- a/control/works.go
+++ b/control/works.go
@@ -122,6 +122,18 @@
 func (c *Control) measure(now time.Time) {
 	for _, w := range c.works {
 		w.measure(now)
+		w.setGates()
+	}
+}
+
+// setGates tells the gates the present demand, also while nothing moves: failures may
+// need them at any time.
+func (w *work) setGates() {
+	target := w.class.Target
+	total := w.demand().Total
+	w.stepper.Gate().Set(target.Cap, total)
+	if w.forced != w.stepper.Gate() {
+		w.forced.Set(target.EffectiveFailoverCap()-target.Cap, total)
 	}
 }
 
@@ -169,9 +181,6 @@
 			continue
 		}
 		d := w.demand()
-		if w.forced != w.stepper.Gate() {
-			w.forced.Set(w.class.Target.EffectiveFailoverCap()-w.class.Target.Cap, d.Total)
-		}
 		if w.stepper.Tick(now, d, c.level(name, w.begun(), neighbours)) {
 			c.dirty = true
 			c.recordStep(w, d)
--- a/instance/table.go
+++ b/instance/table.go
@@ -131,8 +131,9 @@
 			t.note(e, now)
 		}
 		before := e.machine.Current()
-		if !e.heard {
+		if !e.heard && e.member.EntryInstance != listed {
 			e.member.EntryInstance = listed
+			t.note(e, now)
 			if !e.listed {
 				e.changed = now
 			}
--- a/move/stepper.go
+++ b/move/stepper.go
@@ -119,13 +119,13 @@
 }
 
 // Tick ends a step that is over and begins the next; it says whether anything changed.
+// The gate's owner keeps the gate set to the present demand.
 // The level argument says that every peer that shares this instance's clients has
 // begun the step that this instance has under way.
 func (s *Stepper) Tick(now time.Time, d Demand, level bool) bool {
 	if !s.adopted || s.plan.Step == 0 {
 		return false
 	}
-	s.gate.Set(s.target.Cap, d.Total)
 	before := s.applied.Step
 	changed := s.tick(now, d, level)
 	if changed || before != s.applied.Step {
--- a/move/stepper_test.go
+++ b/move/stepper_test.go
@@ -64,6 +64,7 @@
 		w.weights[b] /= total
 		buckets[b] = w.weights[b] * float64(perInterval)
 	}
+	w.stepper.Gate().Set(limit, float64(perInterval))
 	w.demand = Demand{Total: float64(perInterval), Homes: []HomeDemand{{FailureDomain: testHome, Buckets: buckets}}}
 	return w
 }
