Blocks reach every instance through peers; relays exchange with relays; a fleet to measure

Cause: only relays read the table of blocks, so that an instance that is no relay never had it; deployments of two instances a failure domain have none of those, and hid it. A fleet of 112 showed it (region-1-1-entry-2: blocks 0). Word of other failure domains went to any instance there, though relays hear theirs first hand.

Measured: TestBlocksReachEveryInstance fails before (never) and passes after, with the platform down too.

--- a/control/control.go
+++ b/control/control.go
@@ -83,11 +83,15 @@
 	calls    sync.WaitGroup
 
 	// All below belongs to the loop's goroutine.
-	self      instance.Member
-	members   *instance.Table
-	config    *configuration.State
-	blocks    *block.Table
+	self    instance.Member
+	members *instance.Table
+	config  *configuration.State
+	blocks  *block.Table
+	// blocksZip is the table of blocks as it is passed on, at version blocksVer; newBlocks
+	// is the newest version that a peer has told of.
+	blocksZip []byte
 	blocksVer int64
+	newBlocks int64
 	listing   lovageyard.Listing
 	listedAt  time.Time
 	heardAt   time.Time
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -103,6 +103,13 @@
 	return p.Store.Transact(ctx, t)
 }
 
+func (p port) Get(ctx context.Context, name string) (lovageyard.Object, error) {
+	if err := p.fault(); err != nil {
+		return lovageyard.Object{}, err
+	}
+	return p.Store.Get(ctx, name)
+}
+
 func (p port) List(ctx context.Context) (lovageyard.Listing, error) {
 	if err := p.fault(); err != nil {
 		return lovageyard.Listing{}, err
@@ -157,7 +164,7 @@
 	logger.SetOutput(io.Discard)
 	p := port{Store: y.store, yard: y, name: name}
 	c := New(Settings{
-		Self: self, Table: p, Objects: y.store, Instances: p, Backend: p, Peers: p, Timer: y.clock, Recorder: p,
+		Self: self, Table: p, Objects: p, Instances: p, Backend: p, Peers: p, Timer: y.clock, Recorder: p,
 		Logger: logger, Metrics: metrics.NewRegistry(), KeepFor: time.Second, Headroom: 0.2,
 		SeedPeers: []string{"a1-1", "a1-2"},
 		Pool:      server.Settings{Mode: server.Shared, QueuePerSlot: 1},
@@ -296,6 +303,32 @@
 	}
 }
 
+func TestBlocksReachEveryInstance(t *testing.T) {
+	y := newYard(t)
+	y.startAll()
+	put := func(version int64, body string) int64 {
+		accepted, err := y.store.Put(context.Background(), lovageyard.Object{Name: "blocks", Version: version, Body: []byte(body)})
+		y.c.Assert(err, qt.IsNil)
+		return accepted
+	}
+	have := func(count int, names ...string) bool {
+		for _, name := range names {
+			if y.status(name).Blocks != count {
+				return false
+			}
+		}
+		return true
+	}
+	first := put(0, `[{"prefix": "192.0.2.0/24", "failure-domain": "b1"}]`)
+	y.until("blocks", func() bool { return have(1, everyone...) })
+	put(first, `[{"prefix": "192.0.2.0/24", "failure-domain": "b1"}, {"prefix": "198.51.100.0/24", "failure-domain": "a1"}]`)
+	y.until("new blocks", func() bool { return have(2, everyone...) })
+	y.set(func() { y.down = true })
+	y.kill("a1-3")
+	y.start("a1-3", 2)
+	y.until("blocks from peers", func() bool { return have(2, "a1-3") })
+}
+
 func TestDrainMovesWorkEverywhere(t *testing.T) {
 	y := newYard(t)
 	y.startAll()
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"lovageyard.example/lovageyard"
@@ -64,18 +65,18 @@
 	return addresses
 }
 
-// elsewhere returns the address of a random instance of another failure domain, or "".
+// elsewhere returns the address of a relay of a random other failure domain, or "". Relays
+// hear their own failure domain first hand, so that word goes round fastest among them.
 func (c *Control) elsewhere() string {
-	var addresses []string
-	for _, m := range c.members.Known() {
-		if m.FailureDomain != c.self.FailureDomain {
-			addresses = append(addresses, m.PeerAddress)
-		}
+	domains := slices.DeleteFunc(c.failureDomains(), func(name string) bool { return name == c.self.FailureDomain })
+	if len(domains) == 0 {
+		return ""
 	}
-	if len(addresses) == 0 {
+	relays := c.members.Relays(domains[c.random.IntN(len(domains))])
+	if len(relays) == 0 {
 		return ""
 	}
-	return addresses[c.random.IntN(len(addresses))]
+	return c.peerAddress(relays[c.random.IntN(len(relays))])
 }
 
 func (c *Control) exchangeWith(address string) {
@@ -83,12 +84,14 @@
 		return
 	}
 	request := &wire.ExchangeRequest{
-		From:        peer.FromMember(c.self),
-		Members:     c.wireMembers(),
-		Marks:       c.wireMarks(),
-		Version:     c.config.Version(),
-		WantApplied: c.wantsApplied(),
-		WantListing: c.settings.Timer.Now().Sub(c.listedAt) > 2*listEvery,
+		From:          peer.FromMember(c.self),
+		Members:       c.wireMembers(),
+		Marks:         c.wireMarks(),
+		Version:       c.config.Version(),
+		WantApplied:   c.wantsApplied(),
+		BlocksVersion: c.blocksVer,
+		WantBlocks:    c.newBlocks > c.blocksVer,
+		WantListing:   c.settings.Timer.Now().Sub(c.listedAt) > 2*listEvery,
 	}
 	c.call("exchange "+address, func(ctx context.Context) message {
 		reply, err := c.settings.Peers.Exchange(ctx, address, request)
@@ -154,10 +157,12 @@
 		age := time.Duration(m.reply.GetListingAgeMs()) * time.Millisecond
 		c.hearListing(listing, now.Add(-age))
 	}
-	for _, name := range c.relays() {
-		if name == from.Name {
-			c.heardAt = now
-		}
+	c.newBlocks = max(c.newBlocks, m.reply.GetBlocksVersion())
+	if zipped := m.reply.GetBlocks(); len(zipped) > 0 {
+		c.hearBlocks(zipped, m.reply.GetBlocksVersion())
+	}
+	if slices.Contains(c.relays(), from.Name) {
+		c.heardAt = now
 	}
 }
 
@@ -237,6 +242,10 @@
 		Members: c.wireMembers(),
 		Marks:   c.wireMarks(),
 	}
+	answer.BlocksVersion = c.blocksVer
+	if r.GetWantBlocks() && r.GetBlocksVersion() < c.blocksVer {
+		answer.Blocks = c.blocksZip
+	}
 	if r.GetVersion() < c.config.Version() {
 		answer.Changes = peer.FromChanges(c.config.Since(r.GetVersion()))
 	}
--- a/control/platform.go
+++ b/control/platform.go
@@ -10,6 +10,7 @@
 	"lovageyard.example/lovageyard/block"
 	"lovageyard.example/lovageyard/class"
 	"lovageyard.example/lovageyard/configuration"
+	"lovageyard.example/lovageyard/peer"
 )
 
 // readPlatform begins the reads of the platform that are due. Relays read for their
@@ -112,12 +113,14 @@
 			return blocksRead{err: err}
 		}
 		table, err := block.Decode(object.Body)
-		return blocksRead{table: table, version: object.Version, err: err}
+		return blocksRead{table: table, zipped: peer.Zip(object.Body), version: object.Version, err: err}
 	})
 }
 
+// blocksRead is a table of blocks that the platform or a peer has given.
 type blocksRead struct {
 	table   *block.Table
+	zipped  []byte
 	version int64
 	err     error
 }
@@ -127,8 +130,24 @@
 		c.settings.Logger.WithError(m.err).Debug("the table of blocks could not be read")
 		return
 	}
+	if m.version <= c.blocksVer {
+		return
+	}
 	c.blocks = m.table
+	c.blocksZip = m.zipped
 	c.blocksVer = m.version
 	c.dirty = true
 	c.settings.Logger.WithField("blocks", m.table.Len()).Info("table of blocks in force")
 }
+
+// hearBlocks takes in the table of blocks that a peer passes on.
+func (c *Control) hearBlocks(zipped []byte, version int64) {
+	c.call("decode blocks", func(context.Context) message {
+		body, err := peer.Unzip(zipped)
+		if err != nil {
+			return blocksRead{err: err}
+		}
+		table, err := block.Decode(body)
+		return blocksRead{table: table, zipped: zipped, version: version, err: err}
+	})
+}
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -43,7 +43,7 @@
 )
 
 func deployments() []deployment {
-	return []deployment{landavgift(), sanad()}
+	return []deployment{landavgift(), sanad(), fleet()}
 }
 
 // landavgift has 12 entry instances and 44 backend servers in six failure domains.
--- a/demo/main.go
+++ b/demo/main.go
@@ -20,12 +20,12 @@
 	drainAt   = 8 * time.Second
 	leaveAt   = 24 * time.Second
 	emptyIn   = 40 * time.Second
-	readyIn   = 20 * time.Second
+	readyIn   = 60 * time.Second
 	pollEvery = 200 * time.Millisecond
 )
 
 type options struct {
-	Deployment string `default:"landavgift" enum:"landavgift,sanad" help:"Deployment to run: landavgift or sanad."`
+	Deployment string `default:"landavgift" enum:"landavgift,sanad,fleet" help:"Deployment to run: landavgift, sanad, or fleet (112 entry instances without load, for measurements)."`
 	Bin        string `default:"bin" help:"Directory of the programs."`
 	Out        string `default:"out" help:"Directory for logs and results."`
 	Choice     string `default:"shared" help:"How entry instances choose a backend server."`
@@ -78,6 +78,9 @@
 	if err := d.waitReady(ctx); err != nil {
 		return err
 	}
+	if d.deployment.name == fleet().name {
+		return d.measureFleet(ctx)
+	}
 	fmt.Printf("%s: %d entry instances, %d failure domains; load for %s, drain of %s at %s, stop of %s at %s\n",
 		d.deployment.name, len(d.entries), len(d.deployment.domains()), loadFor, d.deployment.domains()[0], drainAt,
 		d.entries[len(d.entries)-1].Name, leaveAt)
--- a/operator/client.go
+++ b/operator/client.go
@@ -51,6 +51,12 @@
 	return s, c.get(ctx, "/status", &s)
 }
 
+// Health returns the health of the instance that answers.
+func (c *Client) Health(ctx context.Context) (Health, error) {
+	var h Health
+	return h, c.get(ctx, "/healthz", &h)
+}
+
 // Class returns a class with its version.
 func (c *Client) Class(ctx context.Context, name string) (VersionedClass, error) {
 	var k VersionedClass
--- a/peer/changes.go
+++ b/peer/changes.go
@@ -25,7 +25,7 @@
 	w := &wire.Changes{After: c.After, To: c.To}
 	for _, r := range c.Rows {
 		row := &wire.Row{Table: r.Table, Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted}
-		if zipped := zip(r.Value); zipped != nil {
+		if zipped := Zip(r.Value); len(r.Value) >= zipFrom && len(zipped) < len(r.Value) {
 			row.Value = nil
 			row.Zipped = zipped
 		}
@@ -34,17 +34,13 @@
 	return w
 }
 
-// zip returns the compressed value, or nil if that is not worth it.
-func zip(value []byte) []byte {
-	if len(value) < zipFrom {
-		return nil
-	}
+// Zip returns a compressed value.
+func Zip(value []byte) []byte {
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
-	_, err := w.Write(value)
-	if err != nil || w.Close() != nil || b.Len() >= len(value) {
-		return nil
-	}
+	// Writes to a buffer do not fail.
+	_, _ = w.Write(value)
+	_ = w.Close()
 	return b.Bytes()
 }
 
@@ -54,7 +50,7 @@
 	for _, r := range w.GetRows() {
 		row := lovageyard.Row{Table: r.GetTable(), Key: r.GetKey(), Version: r.GetVersion(), Value: r.GetValue(), Deleted: r.GetDeleted()}
 		if len(r.GetZipped()) > 0 {
-			value, err := unzip(r.GetZipped())
+			value, err := Unzip(r.GetZipped())
 			if err != nil {
 				return c, errors.Wrap(err, "row "+r.GetTable()+"/"+r.GetKey())
 			}
@@ -65,7 +61,8 @@
 	return c, nil
 }
 
-func unzip(zipped []byte) ([]byte, error) {
+// Unzip returns the value of a compressed one, or an error if it is damaged or too large.
+func Unzip(zipped []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(zipped))
 	if err != nil {
 		return nil, errors.Wrap(err, "compressed value")
--- a/peer/changes_test.go
+++ b/peer/changes_test.go
@@ -28,7 +28,7 @@
 }
 
 func TestBadRowsAreRefused(t *testing.T) {
-	bomb := zip(make([]byte, maxValue+1))
+	bomb := Zip(make([]byte, maxValue+1))
 	for _, zipped := range [][]byte{[]byte("no gzip"), bomb, bomb[:len(bomb)/2]} {
 		c := qt.New(t)
 		_, err := ToChanges(&wire.Changes{Rows: []*wire.Row{{Table: "plans", Key: "bad", Zipped: zipped}}})
