--- a/control/works.go
+++ b/control/works.go
@@ -171,15 +171,15 @@
 
 // stepWorks lets each class take its next step, if one is due.
 func (c *Control) stepWorks(now time.Time) {
-	neighbours := c.members.Neighbours()
+	var neighbours []instance.Member
 	for name, w := range c.works {
-		if w.plan.Step == 0 {
+		if w.plan.Step == 0 || w.stepper.Adopted() && w.idle(now) {
 			continue
 		}
-		c.adopt(w, neighbours, now)
-		if w.idle(now) {
-			continue
+		if neighbours == nil {
+			neighbours = c.members.Neighbours()
 		}
+		c.adopt(w, neighbours, now)
 		d := w.demand()
 		if w.stepper.Tick(now, d, c.level(name, w.begun(), neighbours)) {
 			c.dirty = true
