--- a/demo/account.go
+++ b/demo/account.go
@@ -54,7 +54,7 @@
 	}
 	w.Flush()
 	least := time.Duration(1/moveCap) * moveInterval
-	fmt.Printf("site %s drained under a cap of %.0f%% in %s: the least time is %s\n", d.drained, 100*moveCap, moveInterval, least)
+	fmt.Printf("drain of site %s under a cap of %.0f%% in %s: the least time is %s\n", d.drained, 100*moveCap, moveInterval, least)
 	fmt.Printf("requests cut: %d\n", cut)
 	if cut > 0 {
 		return errors.Errorf("%d requests were cut", cut)
--- a/lovageyard-load/load.go
+++ b/lovageyard-load/load.go
@@ -144,7 +144,7 @@
 	var requests sync.WaitGroup
 	defer requests.Wait()
 	for {
-		due = due.Add(time.Duration(random.ExpFloat64() / s.rate * float64(time.Second)))
+		due = due.Add(l.gap(s, random))
 		select {
 		case <-time.After(time.Until(due)):
 		case <-ctx.Done():
@@ -160,6 +160,15 @@
 	}
 }
 
+// gap returns the time between two arrivals of a stream.
+func (l *load) gap(s stream, random *rand.Rand) time.Duration {
+	mean := float64(time.Second) / s.rate
+	if l.options.Arrivals == "fixed" {
+		return time.Duration(mean)
+	}
+	return time.Duration(random.ExpFloat64() * mean)
+}
+
 func (l *load) admit(t *tally) bool {
 	t.mu.Lock()
 	t.sent++
--- a/lovageyard-load/main.go
+++ b/lovageyard-load/main.go
@@ -18,6 +18,7 @@
 	LookUpAddress []string      `required:"" help:"Caller addresses of entry instances to send look-ups to."`
 	Stream        []string      `required:"" sep:"none" help:"Stream of requests: class:method:path:rate-a-second:bytes, such as movements:GET:/movements/:200:2000."`
 	Network       []string      `default:"127.1.0.0/16" help:"Networks whose addresses the clients use, one after the other."`
+	Arrivals      string        `default:"poisson" enum:"poisson,fixed" help:"Times between arrivals: poisson (random) or fixed."`
 	Clients       int           `default:"60" help:"Number of clients."`
 	Duration      time.Duration `default:"10s" help:"How long to send for."`
 	Timeout       time.Duration `default:"5s" help:"Time after which a request without an answer counts as failed."`
