Names and pages speak of the project alone

Cause: the command line's type and the capacity pages used words from outside the project. Change: invocation; the target.

--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// The target's size, and what is assumed of it beside the letter's figures.
+// The target's size, and what is assumed of it beside that.
 const (
 	nodes         = 1400
 	domains       = 64
@@ -14,7 +14,7 @@
 	blocks        = 120000
 	lookUps       = 1.4e6
 	changesADay   = 6300
-	// classes and movingClasses are assumptions: the letter names no number.
+	// classes and movingClasses are assumptions: the target names no number.
 	classes       = 100
 	movingClasses = 10
 	services      = 40
@@ -92,7 +92,7 @@
 	sent := exchangesOut*exchangeBytes(b) + b.at("report of demand", classes)/reportSeconds
 	return []need{
 		{"look-up itself", lookUp, "ns", 1000, "look-up of a block, ranking of instances"},
-		{"look-ups", lookUps / nodes, "a second", 0, "the letter's figures"},
+		{"look-ups", lookUps / nodes, "a second", 0, "the target's figures"},
 		{"memory for control", memory / bytesPerMB, "MB", memoryBudget, "tables of blocks and members, three copies of the placements, rows of plans"},
 		{"processor for control", perSecond / nanosPerPercent, "% of a core", processorBudget, "three exchanges a second, one snapshot a second while classes move, 6300 changes a day"},
 		{"bytes sent for control", sent / bytesPerKB, "KB a second", byteBudget, "three exchanges a second, a report each 5 s"},
--- a/lovageyard/charge.go
+++ b/lovageyard/charge.go
@@ -20,7 +20,7 @@
 }
 
 // Run lists the charges of a state.
-func (k *chargeList) Run(s *session) error {
+func (k *chargeList) Run(s *invocation) error {
 	claims, err := s.client.Charges(s.context, charge.State(k.State))
 	if err != nil {
 		return err
@@ -40,7 +40,7 @@
 }
 
 // Run shows one charge.
-func (k *chargeShow) Run(s *session) error {
+func (k *chargeShow) Run(s *invocation) error {
 	c, err := s.client.Charge(s.context, k.Class, k.Key)
 	if err != nil {
 		return err
@@ -65,7 +65,7 @@
 }
 
 // Run settles the charge.
-func (k *chargeSettle) Run(s *session) error {
+func (k *chargeSettle) Run(s *invocation) error {
 	if k.Operator == "" {
 		u, err := user.Current()
 		if err != nil {
--- a/lovageyard/class.go
+++ b/lovageyard/class.go
@@ -47,7 +47,7 @@
 }
 
 // Run puts the class in force.
-func (p *classPut) Run(s *session) error {
+func (p *classPut) Run(s *invocation) error {
 	c, err := readClass(p.File)
 	if err != nil {
 		return err
@@ -67,7 +67,7 @@
 	})
 }
 
-func currentVersion(s *session, name string) (int64, error) {
+func currentVersion(s *invocation, name string) (int64, error) {
 	known, err := s.client.Class(s.context, name)
 	var call *operator.CallError
 	if errors.As(err, &call) && call.Status == http.StatusNotFound {
@@ -81,7 +81,7 @@
 }
 
 // Run checks the class file.
-func (k *classCheck) Run(s *session) error {
+func (k *classCheck) Run(s *invocation) error {
 	c, err := readClass(k.File)
 	if err != nil {
 		return err
@@ -92,7 +92,7 @@
 type classList struct{}
 
 // Run lists the classes.
-func (classList) Run(s *session) error {
+func (classList) Run(s *invocation) error {
 	status, err := s.client.Status(s.context)
 	if err != nil {
 		return err
@@ -119,7 +119,7 @@
 }
 
 // Run shows a class; the output is JSON in either format, as a class file has to be.
-func (k *classShow) Run(s *session) error {
+func (k *classShow) Run(s *invocation) error {
 	known, err := s.client.Class(s.context, k.Name)
 	if err != nil {
 		return err
@@ -128,7 +128,7 @@
 		return s.print(known, nil)
 	}
 	fmt.Fprintf(os.Stderr, "version %d\n", known.Version)
-	file := session{out: s.out, json: true}
+	file := invocation{out: s.out, json: true}
 	return file.print(known.Class, nil)
 }
 
@@ -138,7 +138,7 @@
 }
 
 // Run deletes a class.
-func (k *classDelete) Run(s *session) error {
+func (k *classDelete) Run(s *invocation) error {
 	return s.client.DeleteClass(s.context, k.Name, k.Version)
 }
 
--- a/lovageyard/main.go
+++ b/lovageyard/main.go
@@ -36,8 +36,8 @@
 	Status   statusCommand    `cmd:"" help:"Tell how one entry instance and its sites are doing."`
 }
 
-// session is what each command works with.
-type session struct {
+// invocation is what each command works with.
+type invocation struct {
 	context context.Context
 	client  *operator.Client
 	out     io.Writer
@@ -45,7 +45,7 @@
 }
 
 // print writes a value as JSON, or as the text that the function writes.
-func (s *session) print(value any, text func(w io.Writer)) error {
+func (s *invocation) print(value any, text func(w io.Writer)) error {
 	if !s.json {
 		text(s.out)
 		return nil
@@ -60,7 +60,7 @@
 	parsed := settings.Parse("lovageyard", "LOVAGEYARD", "Operate the traffic steering system.", &o)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	err := parsed.Run(&session{
+	err := parsed.Run(&invocation{
 		context: ctx,
 		client:  operator.NewClient(o.OperatorAddress),
 		out:     os.Stdout,
--- a/lovageyard/show.go
+++ b/lovageyard/show.go
@@ -18,7 +18,7 @@
 }
 
 // Run lists the moves.
-func (m *moveList) Run(s *session) error {
+func (m *moveList) Run(s *invocation) error {
 	status, err := s.client.Status(s.context)
 	if err != nil {
 		return err
@@ -61,7 +61,7 @@
 type instanceList struct{}
 
 // Run lists the entry instances.
-func (instanceList) Run(s *session) error {
+func (instanceList) Run(s *invocation) error {
 	status, err := s.client.Status(s.context)
 	if err != nil {
 		return err
@@ -82,7 +82,7 @@
 }
 
 // Run explains where a request goes.
-func (e *explainCommand) Run(s *session) error {
+func (e *explainCommand) Run(s *invocation) error {
 	x, err := s.client.Explain(s.context, e.Class, e.Client)
 	if err != nil {
 		return err
@@ -99,7 +99,7 @@
 type statusCommand struct{}
 
 // Run shows the status of one entry instance.
-func (statusCommand) Run(s *session) error {
+func (statusCommand) Run(s *invocation) error {
 	status, err := s.client.Status(s.context)
 	if err != nil {
 		return err
--- a/lovageyard/site.go
+++ b/lovageyard/site.go
@@ -20,7 +20,7 @@
 }
 
 // Run orders the drain and tells what the plan says of it.
-func (d *siteDrain) Run(s *session) error {
+func (d *siteDrain) Run(s *invocation) error {
 	by, err := parseBy(d.By, time.Now())
 	if err != nil {
 		return err
@@ -60,7 +60,7 @@
 }
 
 // Run lifts the drain.
-func (r *siteRestore) Run(s *session) error {
+func (r *siteRestore) Run(s *invocation) error {
 	if err := s.client.Restore(s.context, r.Name); err != nil {
 		return err
 	}
