--- a/caller/answer.go
+++ b/caller/answer.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"errors"
 	"io"
 	"mime"
 	"net/http"
@@ -9,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
 
 	"lovageyard.example/lovageyard"
--- a/lovageyard/class.go
+++ b/lovageyard/class.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +8,8 @@
 	"strings"
 	"text/tabwriter"
 
+	"github.com/pkg/errors"
+
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/class"
 	"lovageyard.example/lovageyard/operator"
--- a/lovageyard/main.go
+++ b/lovageyard/main.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"os/signal"
 
+	"github.com/pkg/errors"
+
 	"lovageyard.example/lovageyard/class"
 	"lovageyard.example/lovageyard/operator"
 	"lovageyard.example/lovageyard/settings"
--- a/plan.go
+++ b/plan.go
@@ -37,7 +37,6 @@
 
 // The states of a shift.
 const (
-	MovePlanned  MoveState = "planned"
 	MoveShifting MoveState = "shifting"
 	MoveHeld     MoveState = "held"
 	MoveDone     MoveState = "done"
--- a/route/work.go
+++ b/route/work.go
@@ -18,7 +18,6 @@
 	ReasonMoving   = "moving"
 	ReasonUnplaced = "no plan yet; own failure domain"
 	ReasonGrant    = "own site takes no work; grant"
-	ReasonForced   = "own site takes no work"
 )
 
 // retryAfterNoSite is when a caller whose work has no site should come back.
