--- a/caller/answer.go
+++ b/caller/answer.go
@@ -12,6 +12,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/link"
 )
 
 // copySize is the size of the pieces in which a long answer is passed on.
@@ -105,7 +106,7 @@
 	if code != http.StatusEarlyHints {
 		return nil
 	}
-	copyHeader(x.writer.Header(), endToEnd(http.Header(header)))
+	copyHeader(x.writer.Header(), link.EndToEnd(http.Header(header)))
 	x.writer.WriteHeader(code)
 	for name := range header {
 		x.writer.Header().Del(name)
@@ -116,7 +117,7 @@
 func (x *exchange) head(response *http.Response) {
 	header := x.writer.Header()
 	closing := header.Get("Connection")
-	copyHeader(header, endToEnd(response.Header))
+	copyHeader(header, link.EndToEnd(response.Header))
 	header.Del(lovageyard.LoadHeader)
 	header.Set(lovageyard.SiteHeader, x.choice.Site)
 	if closing != "" {
--- a/caller/charge.go
+++ b/caller/charge.go
@@ -8,6 +8,7 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/charge"
+	"lovageyard.example/lovageyard/link"
 )
 
 // keyHeader carries the caller's key of a request that must run at most once.
@@ -99,7 +100,7 @@
 	if x.held == nil {
 		return
 	}
-	a := charge.Answer{Status: response.StatusCode, Header: endToEnd(response.Header), Whole: whole}
+	a := charge.Answer{Status: response.StatusCode, Header: link.EndToEnd(response.Header), Whole: whole}
 	a.Header.Del(lovageyard.LoadHeader)
 	if whole {
 		a.Body = body
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -16,6 +16,7 @@
 	"lovageyard.example/lovageyard/block"
 	"lovageyard.example/lovageyard/charge"
 	"lovageyard.example/lovageyard/class"
+	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/route"
 	"lovageyard.example/lovageyard/server"
 )
@@ -287,7 +288,7 @@
 func (x *exchange) outgoing(ctx context.Context) *http.Request {
 	out := x.request.Clone(ctx)
 	out.RequestURI = ""
-	out.Header = endToEnd(x.request.Header)
+	out.Header = link.EndToEnd(x.request.Header)
 	out.Header.Del("Expect")
 	addForwardedFor(out.Header, x.request)
 	if out.Header.Get("User-Agent") == "" {
--- /dev/null
+++ b/catalog/state.go
@@ -0,0 +1,257 @@
+package catalog
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"lovageyard.example/lovageyard"
+)
+
+// Spans that the state judges rows by.
+const (
+	// lapseGrace is how long the entry of a server that lapsed while the platform was away
+	// is still believed after the platform's return; servers come back within about 2 s.
+	lapseGrace = 2200 * time.Millisecond
+)
+
+// State is owned by one goroutine, which applies changes and takes snapshots.
+type State struct {
+	decoder lovageyard.Decoder
+	cursors map[string]int64
+	// floors are the versions of the whole tables read last: removals before are not known.
+	floors map[string]int64
+	rows    map[string]map[string]lovageyard.Row
+	config  *lovageyard.Configuration
+	servers map[string]*server
+	drains  map[string]bool
+	members map[string]lovageyard.EntryInstance
+	// undrained is when a failure domain was taken back after a drain.
+	undrained map[string]time.Time
+	// returnedAt is when the servers' table could be read again after an outage.
+	returnedAt time.Time
+}
+
+type server struct {
+	lovageyard.BackendServer
+	coldUntil time.Time
+	// lapsesAt is when an entry that was removed around an outage is given up; zero for others.
+	lapsesAt time.Time
+}
+
+// Fault is a row that could not be decoded; the last good state stays in force.
+type Fault struct {
+	Row lovageyard.Row
+	Err error
+}
+
+// NewState returns a state that knows nothing.
+func NewState(d lovageyard.Decoder) *State {
+	s := &State{
+		decoder:   d,
+		cursors:   make(map[string]int64),
+		floors:    make(map[string]int64),
+		rows:      make(map[string]map[string]lovageyard.Row),
+		servers:   make(map[string]*server),
+		drains:    make(map[string]bool),
+		members:   make(map[string]lovageyard.EntryInstance),
+		undrained: make(map[string]time.Time),
+	}
+	for _, table := range lovageyard.FollowedTables() {
+		s.rows[table] = make(map[string]lovageyard.Row)
+	}
+	return s
+}
+
+// Cursor returns the version up to which a table is known, or 0.
+func (s *State) Cursor(table string) int64 {
+	return s.cursors[table]
+}
+
+// Ready says whether the configuration and the servers are known.
+func (s *State) Ready() bool {
+	return s.config != nil && s.cursors[lovageyard.TableServers] > 0
+}
+
+// ApplyList takes in a whole table; rows that it lacks are gone.
+func (s *State) ApplyList(table string, list lovageyard.Changes, now time.Time) []Fault {
+	if list.To < s.cursors[table] {
+		return nil
+	}
+	present := make(map[string]bool)
+	for _, r := range list.Rows {
+		present[r.Key] = true
+	}
+	faults := s.applyRows(list.Rows, now)
+	for key, known := range s.rows[table] {
+		if !present[key] && !known.Deleted && known.Version <= list.To {
+			gone := lovageyard.Row{Table: table, Key: key, Version: list.To, Deleted: true}
+			faults = append(faults, s.applyRows([]lovageyard.Row{gone}, now)...)
+		}
+	}
+	s.cursors[table] = list.To
+	s.floors[table] = list.To
+	return faults
+}
+
+// ApplyChanges takes in the changes of a table, or all of it if they begin at version 0;
+// it reports false if they would leave a gap.
+func (s *State) ApplyChanges(table string, c lovageyard.Changes, now time.Time) (bool, []Fault) {
+	if c.After > s.cursors[table] {
+		return false, nil
+	}
+	if c.After == 0 && c.To > 0 {
+		return true, s.ApplyList(table, c, now)
+	}
+	faults := s.applyRows(c.Rows, now)
+	s.cursors[table] = max(s.cursors[table], c.To)
+	return true, faults
+}
+
+// Returned notes that a table can be read again after an outage.
+func (s *State) Returned(table string, now time.Time) {
+	if table == lovageyard.TableServers {
+		s.returnedAt = now
+	}
+}
+
+func (s *State) applyRows(rows []lovageyard.Row, now time.Time) []Fault {
+	var faults []Fault
+	for _, r := range rows {
+		if known, found := s.rows[r.Table][r.Key]; found && known.Version >= r.Version {
+			continue
+		}
+		record, err := s.decoder.Decode(r)
+		if err != nil {
+			faults = append(faults, Fault{Row: r, Err: err})
+			continue
+		}
+		s.rows[r.Table][r.Key] = r
+		s.apply(record, now)
+	}
+	return faults
+}
+
+func (s *State) apply(r lovageyard.Record, now time.Time) {
+	switch {
+	case r.Configuration != nil:
+		if s.config == nil || r.Configuration.Version > s.config.Version {
+			s.config = r.Configuration
+		}
+	case r.Drain != nil:
+		s.applyDrain(r, now)
+	case r.Server != nil:
+		s.applyServer(r, now)
+	case r.Instance != nil && r.Removed:
+		delete(s.members, r.Key)
+	case r.Instance != nil:
+		s.members[r.Key] = *r.Instance
+	}
+}
+
+func (s *State) applyDrain(r lovageyard.Record, now time.Time) {
+	domain := r.Drain.FailureDomain
+	if s.drains[domain] && r.Removed {
+		s.undrained[domain] = now
+	}
+	if r.Removed {
+		delete(s.drains, domain)
+		return
+	}
+	s.drains[domain] = true
+}
+
+func (s *State) applyServer(r lovageyard.Record, now time.Time) {
+	known := s.servers[r.Key]
+	if r.Removed {
+		s.removeServer(known, now)
+		return
+	}
+	if known == nil {
+		known = &server{}
+		s.servers[r.Key] = known
+	}
+	leaving := known.State == lovageyard.StateLeaving
+	known.BackendServer = *r.Server
+	known.lapsesAt = time.Time{}
+	if leaving {
+		// A server that has said that it leaves never comes back under its name.
+		known.State = lovageyard.StateLeaving
+	}
+	known.coldUntil = now.Add(r.Server.ColdFor.Std())
+}
+
+// removeServer drops a server, or waits a little if its entry may only have lapsed.
+func (s *State) removeServer(known *server, now time.Time) {
+	if known == nil {
+		return
+	}
+	if known.State == lovageyard.StateLive && now.Sub(s.returnedAt) < lapseGrace && !s.returnedAt.IsZero() {
+		known.lapsesAt = s.returnedAt.Add(lapseGrace)
+		return
+	}
+	delete(s.servers, known.Name)
+}
+
+// Expire drops the entries that lapsed around an outage and did not come back; it says
+// whether any did.
+func (s *State) Expire(now time.Time) bool {
+	changed := false
+	for name, known := range s.servers {
+		if !known.lapsesAt.IsZero() && !now.Before(known.lapsesAt) {
+			delete(s.servers, name)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Since returns the changes of a table after a version, for a peer that lags, or the whole
+// table, as changes after version 0, if removals since that version may not be known.
+func (s *State) Since(table string, after int64) lovageyard.Changes {
+	whole := after < s.floors[table]
+	c := lovageyard.Changes{After: after, To: s.cursors[table]}
+	if whole {
+		c.After = 0
+	}
+	for _, r := range s.rows[table] {
+		if whole && !r.Deleted || !whole && r.Version > after {
+			c.Rows = append(c.Rows, r)
+		}
+	}
+	slices.SortFunc(c.Rows, func(a, b lovageyard.Row) int { return strings.Compare(a.Key, b.Key) })
+	return c
+}
+
+// Snapshot returns what is known, for readers that do not change it.
+func (s *State) Snapshot() *Snapshot {
+	view := &Snapshot{
+		Configuration: s.config,
+		Drained:       maps.Clone(s.drains),
+		Instances:     maps.Clone(s.members),
+		matcher:       newMatcher(s.config),
+	}
+	for _, known := range s.servers {
+		view.Servers = append(view.Servers, Server{
+			BackendServer: known.BackendServer,
+			ColdUntil:     s.coldUntil(known),
+		})
+	}
+	slices.SortFunc(view.Servers, func(a, b Server) int { return strings.Compare(a.Name, b.Name) })
+	return view
+}
+
+// coldUntil returns until when a server is to be spared: after its start, and after its
+// failure domain was taken back, as it may have lost its caches while it got no work.
+func (s *State) coldUntil(known *server) time.Time {
+	back, found := s.undrained[known.FailureDomain]
+	if !found || s.config == nil {
+		return known.coldUntil
+	}
+	cold := back.Add(s.config.Services[known.Service].ColdFor)
+	if cold.After(known.coldUntil) {
+		return cold
+	}
+	return known.coldUntil
+}
--- /dev/null
+++ b/dispatch/table.go
@@ -0,0 +1,303 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/catalog"
+)
+
+// Settings are the fixed inputs of a Table.
+type Settings struct {
+	// Self is the name of this instance, in FailureDomain and Region.
+	Self          string
+	FailureDomain string
+	Region        string
+	Retries       RetryBound
+	Cold          ColdBound
+	Seed          uint64
+}
+
+// Request asks for a server.
+type Request struct {
+	Now   time.Time
+	Route *lovageyard.Route
+	// Service is the part of the route that the request belongs to.
+	Service string
+	// Key is the object that the request concerns, or "".
+	Key string
+	// Goal and Deadline are when the answer should and must be there.
+	Goal     time.Time
+	Deadline time.Time
+	// Tried names the servers that earlier attempts went to.
+	Tried []string
+}
+
+// Choice is the answer to a Request: a server, or a refusal.
+type Choice struct {
+	Server lovageyard.BackendServer
+	// Expected is the estimated time until the answer is there.
+	Expected time.Duration
+	// Wait is the part of Expected that the request waits for a slot.
+	Wait time.Duration
+	// Load is the server's believed load, and LoadAge the age of the report behind it.
+	Load    float64
+	LoadAge time.Duration
+	// Reason says why the server was chosen or the request refused.
+	Reason string
+	// Refused says that no server was given.
+	Refused bool
+	// RetryAfter is when a refused client should come back.
+	RetryAfter time.Duration
+
+	server  *server
+	service *service
+	route   *lovageyard.Route
+	object  uint64
+	warm    bool
+	work    time.Duration
+	sentAt  time.Time
+}
+
+// Outcome is what an attempt taught about its server.
+type Outcome struct {
+	At time.Time
+	// Answered says that the server answered at all.
+	Answered bool
+	// Failed says that the answer was a failure or was not whole, or that none came.
+	Failed bool
+	// NotRun says that the server refused the request.
+	NotRun bool
+	// Misdirected says that another server has the address.
+	Misdirected bool
+	// Abandoned says that this side gave up before the server was late.
+	Abandoned bool
+	Meta      lovageyard.AnswerMeta
+	// DialTime is how long a new connection took, or 0.
+	DialTime time.Duration
+}
+
+// service is what is known of one service.
+type service struct {
+	lovageyard.Service
+	servers []*server
+	budget  budget
+	spill   spill
+	// mean is the mean work of all its requests.
+	mean time.Duration
+	// topRank is the rank of the most urgent route that uses the service.
+	topRank int
+}
+
+// Table keeps the estimates of all servers. Its methods may be called from several goroutines.
+type Table struct {
+	settings Settings
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	services  map[string]*service
+	servers   map[string]*server
+	works     map[string]*work
+	splits    map[string]*splitter
+	distances map[string]time.Duration
+	instances []string
+	drained   map[string]bool
+}
+
+// NewTable returns a table without servers.
+func NewTable(s Settings) *Table {
+	return &Table{
+		settings:  s,
+		random:    rand.New(rand.NewPCG(s.Seed, s.Seed)),
+		services:  make(map[string]*service),
+		servers:   make(map[string]*server),
+		works:     make(map[string]*work),
+		splits:    make(map[string]*splitter),
+		distances: make(map[string]time.Duration),
+		instances: []string{s.Self},
+	}
+}
+
+// SetInstances sets the names of the live entry instances, which share all bounds.
+func (t *Table) SetInstances(names []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.instances = slices.Clone(names)
+}
+
+// SetBounds changes the bounds that all instances share.
+func (t *Table) SetBounds(retries RetryBound, cold ColdBound) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settings.Retries = retries
+	t.settings.Cold = cold
+}
+
+// SetCatalog takes in a new view of the routes and servers.
+func (t *Table) SetCatalog(view *catalog.Snapshot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if view.Configuration == nil {
+		return
+	}
+	t.drained = view.Drained
+	t.setServices(view.Configuration)
+	present := make(map[string]bool)
+	for _, listed := range view.Servers {
+		present[listed.Name] = true
+		t.setServer(listed)
+	}
+	for name := range t.servers {
+		if !present[name] {
+			delete(t.servers, name)
+		}
+	}
+	for _, s := range t.services {
+		s.servers = s.servers[:0]
+	}
+	for _, s := range t.servers {
+		if owner := t.services[s.Service]; owner != nil {
+			owner.servers = append(owner.servers, s)
+		}
+	}
+}
+
+func (t *Table) setServices(c *lovageyard.Configuration) {
+	for name, described := range c.Services {
+		s := t.services[name]
+		if s == nil {
+			s = &service{mean: firstMean}
+			t.services[name] = s
+		}
+		s.Service = described
+		s.topRank = lowestRank
+	}
+	for _, route := range c.Routes {
+		if t.works[route.Name] == nil {
+			t.works[route.Name] = newWork(route.Goal)
+			t.splits[route.Name] = &splitter{}
+		}
+		for _, p := range route.Parts {
+			if s := t.services[p.Service]; s != nil {
+				s.topRank = min(s.topRank, route.Rank)
+			}
+		}
+	}
+}
+
+func (t *Table) setServer(listed catalog.Server) {
+	known := t.servers[listed.Name]
+	if known == nil {
+		t.servers[listed.Name] = newServer(listed)
+		return
+	}
+	known.Server = listed
+}
+
+// Arrive notes a client's request and returns the service that it belongs to.
+func (t *Table) Arrive(route *lovageyard.Route, now time.Time) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	split := t.splits[route.Name]
+	if split == nil {
+		return route.Parts[0].Service
+	}
+	name := split.next(route.Parts)
+	if s := t.services[name]; s != nil {
+		s.budget.earn(t.settings.Retries, now)
+	}
+	return name
+}
+
+// MayRepeat says whether the budget allows another attempt at a service, and spends it.
+func (t *Table) MayRepeat(name string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	return s != nil && s.budget.spend(t.settings.Retries, len(t.instances), now)
+}
+
+// Done takes in how the attempt at a chosen server ended.
+func (t *Table) Done(c Choice, o Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := c.server
+	s.inFlight--
+	s.fade(o.At)
+	if o.DialTime > 0 {
+		t.learnDistance(s.FailureDomain, o.DialTime)
+	}
+	if o.Meta.Reported {
+		s.learnReport(o.Meta.Load, s.inFlight, o.At)
+	}
+	if o.Meta.ColdFor > 0 {
+		s.ColdUntil = o.At.Add(o.Meta.ColdFor)
+	}
+	switch {
+	case o.Misdirected:
+		s.gone = true
+	case o.Abandoned:
+	case !o.Answered:
+		s.learnFailure(true)
+		s.strike(o.At)
+	default:
+		s.strikes = 0
+		s.busySince = o.At
+		s.learnFailure(o.Failed || o.NotRun)
+		t.learnWork(c, o)
+	}
+}
+
+// learnWork takes in how long a run took, against what was expected.
+func (t *Table) learnWork(c Choice, o Outcome) {
+	if o.Failed || o.NotRun {
+		return
+	}
+	took := o.At.Sub(c.sentAt) - t.distance(c.server) - o.DialTime
+	c.server.learnPace(took, c.Wait+c.work)
+	c.service.mean += time.Duration(workWeight * float64(max(0, took-c.Wait)-c.service.mean))
+	if w := t.works[c.route.Name]; w != nil && c.Wait < c.work/4 {
+		w.learn(c.warm, took)
+	}
+}
+
+// learnDistance keeps the least time that a connection to a failure domain took.
+func (t *Table) learnDistance(domain string, took time.Duration) {
+	known, found := t.distances[domain]
+	if !found || took < known {
+		t.distances[domain] = took
+		return
+	}
+	// Creep up, in case the way has become longer for good.
+	t.distances[domain] = known + (took-known)/distanceCreep
+}
+
+// Leave notes that a server said that it takes no new work.
+func (t *Table) Leave(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[name]; s != nil {
+		s.gone = true
+	}
+}
+
+func objectOf(route *lovageyard.Route, key string) uint64 {
+	if key == "" {
+		return 0
+	}
+	return mix(xxhash.Sum64String(route.Name) ^ xxhash.Sum64String(key))
+}
+
+// mix spreads the bits of a hash, so that scores of one object are independent of each other.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- /dev/null
+++ b/entry/forward.go
@@ -0,0 +1,278 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/dispatch"
+	"lovageyard.example/lovageyard/link"
+)
+
+// Spans of requests.
+const (
+	// defaultDeadline bounds requests whose client and route name no deadline.
+	defaultDeadline = 30 * time.Second
+	// retrySoon is when to come back to another instance: at once, but for the look-up.
+	retrySoon = 50 * time.Millisecond
+	// answerMargin is left of the deadline for the way of our own answer.
+	answerMargin = 10 * time.Millisecond
+	// statusClientGone is logged for a request whose client went away.
+	statusClientGone = 499
+)
+
+// attempt is one try at a backend server.
+type attempt struct {
+	choice dispatch.Choice
+	answer *link.Answer
+	err    *lovageyard.RequestError
+	took   time.Duration
+}
+
+// run makes attempts until one is final, and answers.
+func (x *exchange) run() {
+	ctx, cancel := x.context()
+	defer cancel()
+	x.service = x.handler.Dispatch.Arrive(x.route, x.began)
+	for {
+		choice := x.choose()
+		if choice.Refused {
+			x.refused(choice)
+			return
+		}
+		a := x.try(ctx, choice)
+		if a.isGood() || !x.mayRepeat(ctx, a) {
+			x.finish(ctx, a)
+			return
+		}
+		x.log(logrus.InfoLevel, "repeated", 0, a.reason(), a)
+	}
+}
+
+// context returns the context of all attempts: it ends at the deadline, and when the
+// client leaves if the request may be given up without harm.
+func (x *exchange) context() (context.Context, context.CancelFunc) {
+	parent := x.request.Context()
+	if !x.route.Idempotent {
+		parent = context.WithoutCancel(parent)
+	}
+	return context.WithDeadline(parent, x.deadline.Add(-answerMargin))
+}
+
+func (x *exchange) choose() dispatch.Choice {
+	return x.handler.Dispatch.Choose(dispatch.Request{
+		Now:      x.handler.Timer.Now(),
+		Route:    x.route,
+		Service:  x.service,
+		Key:      x.meta.Key,
+		Goal:     x.goal,
+		Deadline: x.deadline,
+		Tried:    x.tried,
+	})
+}
+
+// refused ends a request that got no server.
+func (x *exchange) refused(c dispatch.Choice) {
+	if x.ran {
+		x.log(logrus.InfoLevel, "failed", http.StatusBadGateway, c.Reason, nil)
+		x.fail(http.StatusBadGateway, c.Reason, 0)
+		return
+	}
+	x.refuse(c.Reason, c.RetryAfter)
+}
+
+// try makes one attempt and tells the dispatcher how it ended.
+func (x *exchange) try(ctx context.Context, choice dispatch.Choice) *attempt {
+	x.tried = append(x.tried, choice.Server.Name)
+	began := x.handler.Timer.Now()
+	answer, err := x.handler.Sender.Send(ctx, x.outgoing(choice, began))
+	now := x.handler.Timer.Now()
+	a := &attempt{choice: choice, answer: answer, took: now.Sub(began)}
+	if err != nil && !errors.As(err, &a.err) {
+		a.err = lovageyard.MayHaveRun("the backend server did not answer", err)
+	}
+	x.handler.Dispatch.Done(choice, x.outcome(ctx, a, now))
+	if a.verdict() != lovageyard.VerdictNotRun {
+		x.ran = true
+	}
+	if a.answer != nil && a.answer.Meta.Misdirected {
+		x.handler.Sender.Forget(choice.Server.Name)
+	}
+	return a
+}
+
+func (x *exchange) outgoing(choice dispatch.Choice, now time.Time) link.Request {
+	header := link.EndToEnd(x.request.Header)
+	x.handler.Codec.Outgoing(header, x.deadline.Sub(now), choice.Server.Name)
+	return link.Request{
+		Method:        x.request.Method,
+		Target:        x.request.RequestURI,
+		Host:          x.request.Host,
+		Header:        header,
+		Body:          x.body,
+		ID:            x.meta.ID,
+		Idempotent:    x.route.Idempotent,
+		Server:        choice.Server.Name,
+		ServerAddress: choice.Server.Address,
+	}
+}
+
+// outcome says what an attempt taught about its server.
+func (x *exchange) outcome(ctx context.Context, a *attempt, now time.Time) dispatch.Outcome {
+	o := dispatch.Outcome{At: now}
+	if a.answer == nil {
+		o.Failed = true
+		// A client that left, or a deadline that came before the answer was due, does not
+		// speak against the server.
+		o.Abandoned = ctx.Err() != nil && (x.request.Context().Err() != nil || a.took < 2*a.choice.Expected)
+		return o
+	}
+	o.Answered = true
+	o.NotRun = a.answer.Meta.NotRun
+	o.Misdirected = a.answer.Meta.Misdirected
+	o.Failed = !a.isGood()
+	o.Meta = a.answer.Meta
+	o.DialTime = a.answer.DialTime
+	return o
+}
+
+// isGood says whether the client gets the server's answer as a success, or as a refusal
+// of the request itself that another server would repeat.
+func (a *attempt) isGood() bool {
+	return a.answer != nil && !a.answer.Meta.NotRun && a.answer.Meta.Sealed && a.answer.Status < http.StatusInternalServerError
+}
+
+// verdict says whether the attempt may have run.
+func (a *attempt) verdict() lovageyard.Verdict {
+	switch {
+	case a.err != nil:
+		return a.err.Verdict
+	case a.answer.Meta.NotRun:
+		return lovageyard.VerdictNotRun
+	}
+	return lovageyard.VerdictRan
+}
+
+func (a *attempt) reason() string {
+	if a.err != nil {
+		return a.err.Error()
+	}
+	return "the server answered " + strconv.Itoa(a.answer.Status)
+}
+
+// mayRepeat says whether the request may be sent to another server.
+func (x *exchange) mayRepeat(ctx context.Context, a *attempt) bool {
+	if ctx.Err() != nil || len(x.tried) >= x.route.Attempts {
+		return false
+	}
+	if a.answer != nil && a.answer.Meta.NotRun && a.answer.Status == http.StatusBadRequest {
+		return false
+	}
+	if x.ran && !x.route.Idempotent {
+		return false
+	}
+	return x.handler.Dispatch.MayRepeat(x.service, x.handler.Timer.Now())
+}
+
+// finish answers with what the last attempt gave.
+func (x *exchange) finish(ctx context.Context, a *attempt) {
+	switch {
+	case x.request.Context().Err() != nil:
+		x.log(logrus.InfoLevel, "client gone", statusClientGone, a.reason(), a)
+	case a.answer != nil && a.answer.Meta.NotRun && !x.ran:
+		x.passRefusal(a)
+	case a.answer != nil && a.answer.Meta.Sealed:
+		x.pass(a)
+	case !x.ran:
+		x.log(logrus.InfoLevel, "refused", http.StatusServiceUnavailable, a.reason(), a)
+		x.fail(http.StatusServiceUnavailable, a.reason(), retrySoon)
+	case ctx.Err() != nil:
+		x.log(logrus.InfoLevel, "failed", http.StatusGatewayTimeout, a.reason(), a)
+		x.fail(http.StatusGatewayTimeout, a.reason(), 0)
+	default:
+		x.log(logrus.InfoLevel, "failed", http.StatusBadGateway, a.reason(), a)
+		x.fail(http.StatusBadGateway, a.reason(), 0)
+	}
+}
+
+// passRefusal tells the client that no server ran the request.
+func (x *exchange) passRefusal(a *attempt) {
+	if a.answer.Status == http.StatusBadRequest {
+		x.reject(http.StatusBadRequest, "the server finds the request malformed")
+		return
+	}
+	x.log(logrus.InfoLevel, "refused", http.StatusServiceUnavailable, a.reason(), a)
+	x.fail(http.StatusServiceUnavailable, a.reason(), max(retrySoon, a.choice.Expected/2))
+}
+
+// pass gives the client the server's whole answer.
+func (x *exchange) pass(a *attempt) {
+	h := x.writer.Header()
+	for name, values := range link.EndToEnd(a.answer.Header) {
+		h[name] = values
+	}
+	if _, found := h["Content-Type"]; !found {
+		// An absent header would make net/http guess one.
+		h["Content-Type"] = nil
+	}
+	if x.request.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
+	}
+	x.writer.WriteHeader(a.answer.Status)
+	_, err := x.writer.Write(a.answer.Body)
+	reason := a.choice.Reason
+	if err != nil {
+		reason = "the answer could not be written: " + err.Error()
+	}
+	x.log(logrus.InfoLevel, "answered", a.answer.Status, reason, a)
+	x.count(a.answer.Status)
+	x.observe()
+}
+
+func (x *exchange) observe() {
+	name := "latency." + x.service
+	sample := func() metrics.Histogram { return metrics.NewHistogram(metrics.NewExpDecaySample(1028, 0.015)) }
+	histogram := x.handler.Metrics.GetOrRegister(name, sample)
+	if known, ok := histogram.(metrics.Histogram); ok {
+		known.Update(x.handler.Timer.Now().Sub(x.began).Milliseconds())
+	}
+}
+
+// log writes the line of one decision.
+func (x *exchange) log(level logrus.Level, outcome string, status int, reason string, a *attempt) {
+	if !x.handler.Logger.IsLevelEnabled(level) {
+		return
+	}
+	fields := logrus.Fields{
+		"request-id": x.meta.ID,
+		"outcome":    outcome,
+		"reason":     reason,
+		"attempts":   len(x.tried),
+		"version":    x.view.Version(),
+		"elapsed-ms": x.handler.Timer.Now().Sub(x.began).Milliseconds(),
+	}
+	if status != 0 {
+		fields["status"] = status
+	}
+	if x.route != nil {
+		fields["route"] = x.route.Name
+		fields["service"] = x.service
+		fields["left-ms"] = x.deadline.Sub(x.handler.Timer.Now()).Milliseconds()
+	}
+	if a != nil {
+		fields["server"] = a.choice.Server.Name
+		fields["site"] = a.choice.Server.Site
+		fields["expected-ms"] = a.choice.Expected.Milliseconds()
+		fields["wait-ms"] = a.choice.Wait.Milliseconds()
+		fields["load"] = a.choice.Load
+		fields["load-age-ms"] = a.choice.LoadAge.Milliseconds()
+		fields["verdict"] = string(a.verdict())
+	}
+	x.handler.Logger.WithFields(fields).Log(level, "request")
+}
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/catalog"
+	"lovageyard.example/lovageyard/dispatch"
+	"lovageyard.example/lovageyard/link"
+)
+
+// maxBody bounds the bodies of requests, which are read whole before they are sent, so
+// that a slow caller holds no slot; the configuration may set a lower bound.
+const maxBody = 8 << 20
+
+// Source gives the view in force.
+type Source interface {
+	View() *catalog.View
+}
+
+// Codec translates the headers of the wire.
+type Codec interface {
+	Request(h http.Header) lovageyard.RequestMeta
+	Outgoing(h http.Header, left time.Duration, server string)
+	Unvouch(h http.Header)
+	Echo(h http.Header, id string)
+}
+
+// Sender makes one attempt at a backend server; a failure is a *lovageyard.RequestError.
+type Sender interface {
+	Send(ctx context.Context, r link.Request) (*link.Answer, error)
+	Forget(server string)
+}
+
+// Parts are what a Handler is made of.
+type Parts struct {
+	Source   Source
+	Codec    Codec
+	Sender   Sender
+	Dispatch *dispatch.Table
+	Timer    lovageyard.Timer
+	Logger   *logrus.Logger
+	Metrics  metrics.Registry
+}
+
+// Handler forwards callers' requests.
+type Handler struct {
+	Parts
+}
+
+// NewHandler returns a handler.
+func NewHandler(p Parts) *Handler {
+	return &Handler{Parts: p}
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	view := h.Source.View()
+	x := &exchange{
+		handler: h,
+		writer:  w,
+		request: r,
+		view:    view,
+		began:   h.Timer.Now(),
+		meta:    h.Codec.Request(r.Header),
+	}
+	if view.Leaving {
+		w.Header().Set("Connection", "close")
+	}
+	x.serve()
+}
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	handler  *Handler
+	writer   http.ResponseWriter
+	request  *http.Request
+	view     *catalog.View
+	began    time.Time
+	meta     lovageyard.RequestMeta
+	route    *lovageyard.Route
+	service  string
+	body     []byte
+	deadline time.Time
+	goal     time.Time
+	tried    []string
+	// ran says that an attempt may have run the request.
+	ran bool
+}
+
+// serve checks the request and runs it.
+func (x *exchange) serve() {
+	if x.view.Closing || x.view.Configuration == nil {
+		x.refuse("this instance takes no requests", retrySoon)
+		return
+	}
+	x.route = x.view.Match(x.request.Host, x.path())
+	if x.route == nil {
+		x.reject(http.StatusNotFound, "no route matches")
+		return
+	}
+	if status, err := x.readBody(); err != nil {
+		x.reject(status, err.Error())
+		return
+	}
+	limit := x.route.Timeout
+	if x.meta.Deadline > 0 && (limit <= 0 || x.meta.Deadline < limit) {
+		limit = x.meta.Deadline
+	}
+	if limit <= 0 {
+		limit = defaultDeadline
+	}
+	x.deadline = x.began.Add(limit)
+	x.goal = x.began.Add(x.route.Goal)
+	x.run()
+}
+
+// path returns the request's path as the client wrote it, without the query.
+func (x *exchange) path() string {
+	path, _, _ := strings.Cut(x.request.RequestURI, "?")
+	return path
+}
+
+func (x *exchange) readBody() (int, error) {
+	if x.request.ContentLength == 0 {
+		return 0, nil
+	}
+	limit := int64(maxBody)
+	if n := x.view.Configuration.MaxBodyBytes; n > 0 {
+		limit = min(limit, n)
+	}
+	var body bytes.Buffer
+	if n := x.request.ContentLength; n > 0 && n <= limit {
+		body.Grow(int(n))
+	}
+	_, err := io.Copy(&body, http.MaxBytesReader(x.writer, x.request.Body, limit))
+	x.body = body.Bytes()
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge, err
+	}
+	return http.StatusBadRequest, err
+}
+
+// reject ends a request that is not proper.
+func (x *exchange) reject(status int, reason string) {
+	x.log(logrus.InfoLevel, "rejected", status, reason, nil)
+	x.fail(status, reason, 0)
+}
+
+// refuse ends a request that has not run and never will.
+func (x *exchange) refuse(reason string, retryAfter time.Duration) {
+	x.log(logrus.InfoLevel, "refused", http.StatusServiceUnavailable, reason, nil)
+	x.fail(http.StatusServiceUnavailable, reason, retryAfter)
+}
+
+// failure is the body of our own answers.
+type failure struct {
+	Error   string             `json:"error"`
+	Verdict lovageyard.Verdict `json:"verdict"`
+}
+
+func (x *exchange) fail(status int, reason string, retryAfter time.Duration) {
+	verdict := lovageyard.VerdictNotRun
+	if x.ran {
+		verdict = lovageyard.VerdictMayHaveRun
+	}
+	h := x.writer.Header()
+	x.handler.Codec.Echo(h, x.meta.ID)
+	h.Set("Content-Type", "application/json")
+	h.Set(lovageyard.VerdictHeader, string(verdict))
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	body, err := json.Marshal(failure{Error: reason, Verdict: verdict})
+	if err != nil {
+		x.handler.Logger.WithError(err).Error("a failure could not be encoded")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.writer.WriteHeader(status)
+	_, _ = x.writer.Write(body)
+	x.count(status)
+}
+
+func (x *exchange) count(status int) {
+	route := "none"
+	if x.route != nil {
+		route = x.service
+	}
+	metrics.GetOrRegisterCounter("answers."+route+"."+strconv.Itoa(status), x.handler.Metrics).Inc(1)
+}
--- /dev/null
+++ b/entry/lookup.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/catalog"
+	"lovageyard.example/lovageyard/platform"
+)
+
+// maxAddresses is the largest number of addresses that a client takes from one answer.
+const maxAddresses = 64
+
+// Directory answers look-ups.
+type Directory struct {
+	Source Source
+	// KeepFor is how long clients may keep an answer.
+	KeepFor time.Duration
+}
+
+// ServeHTTP answers one look-up.
+func (d *Directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.LookUpPath {
+		http.NotFound(w, r)
+		return
+	}
+	query := platform.LookUpQueryOf(r.URL.Query())
+	view := d.Source.View()
+	answer := platform.LookUpAnswer{
+		Addresses: addresses(view, query.Region),
+		Seconds:   d.KeepFor.Seconds(),
+	}
+	if len(answer.Addresses) == 0 {
+		http.Error(w, "no entry instance is known to be alive", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if view.Leaving {
+		w.Header().Set("Connection", "close")
+	}
+	_, _ = w.Write(body)
+}
+
+// addresses returns where a client of a region should connect: to the instances of its own
+// region, or to all others if none of these is alive.
+func addresses(view *catalog.View, region string) []string {
+	var own, others []string
+	for _, m := range view.Live {
+		if m.State != lovageyard.StateLive {
+			continue
+		}
+		if m.Region == region {
+			own = append(own, m.CallerAddress)
+		} else {
+			others = append(others, m.CallerAddress)
+		}
+	}
+	if len(own) == 0 {
+		own = others
+	}
+	return own[:min(maxAddresses, len(own))]
+}
+
+// Readiness tells the platform whether this instance can serve.
+type Readiness struct {
+	Source Source
+}
+
+// ServeHTTP answers 200 while this instance takes requests, else 503.
+func (d *Readiness) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.ReadyPath {
+		http.NotFound(w, r)
+		return
+	}
+	view := d.Source.View()
+	if !view.Ready || view.Leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/fleet/control.go
@@ -0,0 +1,315 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/catalog"
+	"lovageyard.example/lovageyard/instance"
+	"lovageyard.example/lovageyard/peer/wire"
+)
+
+// Periods and limits of the control loop.
+const (
+	tickEvery = 500 * time.Millisecond
+	// silence is how long a peer may be unheard before look-ups stop naming it: a few
+	// rounds of exchange with random peers.
+	silence   = 3 * time.Second
+	inboxSize = 256
+)
+
+// Peers reaches other entry instances.
+type Peers interface {
+	Share(ctx context.Context, address string, r *wire.ShareRequest) (*wire.ShareReply, error)
+}
+
+// Registrar writes the rows of entry instances.
+type Registrar interface {
+	Put(ctx context.Context, r lovageyard.Row) error
+	Remove(ctx context.Context, r lovageyard.Row) error
+}
+
+// Follower is told of each new view.
+type Follower interface {
+	SetCatalog(view *catalog.Snapshot)
+	SetInstances(names []string)
+}
+
+// Settings are what a Control is made of.
+type Settings struct {
+	Self      lovageyard.EntryInstance
+	Feed      lovageyard.Feed
+	Registrar Registrar
+	Decoder   lovageyard.Decoder
+	Peers     Peers
+	Follower  Follower
+	Timer     lovageyard.Timer
+	Logger    *logrus.Logger
+	Metrics   metrics.Registry
+	// Seeds are addresses of peers to ask before any other is known.
+	Seeds []string
+	Seed  uint64
+}
+
+// Control runs the control loop of one entry instance.
+type Control struct {
+	settings Settings
+	inbox    chan message
+	view     atomic.Pointer[catalog.View]
+	context  context.Context
+	cancel   context.CancelFunc
+	loop     sync.WaitGroup
+	calls    sync.WaitGroup
+
+	// All below belongs to the loop's goroutine.
+	self    instance.Member
+	members *instance.Table
+	state   *catalog.State
+	random  *rand.Rand
+	busy    map[string]bool
+	seeds   []string
+	leaving bool
+	closing bool
+	dirty   bool
+	// fed and failing note for each table whether its feed works and since when it fails.
+	failing map[string]time.Time
+	// unheard is when the row of an instance that has never spoken was first seen.
+	unheard map[string]time.Time
+}
+
+// message is a typed message to the loop.
+type message interface {
+	apply(c *Control)
+}
+
+// New returns a Control that Start sets going.
+func New(s Settings) *Control {
+	now := s.Timer.Now()
+	self := instance.Member{EntryInstance: s.Self}
+	c := &Control{
+		settings: s,
+		inbox:    make(chan message, inboxSize),
+		self:     self,
+		members:  instance.NewTable(self, now),
+		state:    catalog.NewState(s.Decoder),
+		random:   rand.New(rand.NewPCG(s.Seed, s.Seed)),
+		busy:     make(map[string]bool),
+		seeds:    s.Seeds,
+		failing:  make(map[string]time.Time),
+		unheard:  make(map[string]time.Time),
+	}
+	c.members.SetPatience(silence)
+	c.context, c.cancel = context.WithCancel(context.Background())
+	c.publish()
+	return c
+}
+
+// Start sets the loop and the watches of the platform's tables going.
+func (c *Control) Start() {
+	ticks := c.settings.Timer.Subscribe(tickEvery)
+	c.loop.Go(func() { c.run(ticks) })
+	for _, table := range lovageyard.FollowedTables() {
+		c.calls.Go(func() { c.follow(table) })
+	}
+	c.calls.Go(c.register)
+}
+
+// Close ends the loop and all calls, and waits for them.
+func (c *Control) Close() {
+	c.cancel()
+	c.loop.Wait()
+	c.calls.Wait()
+}
+
+// View returns the view in force.
+func (c *Control) View() *catalog.View {
+	return c.view.Load()
+}
+
+func (c *Control) run(ticks lovageyard.Ticks) {
+	defer ticks.Close()
+	c.tick(c.settings.Timer.Now())
+	for {
+		select {
+		case now := <-ticks.C():
+			c.tick(now)
+		case m := <-c.inbox:
+			m.apply(c)
+		case <-c.context.Done():
+			return
+		}
+		if c.dirty {
+			c.publish()
+		}
+	}
+}
+
+// post hands a message to the loop; it returns false once the loop has ended.
+func (c *Control) post(m message) bool {
+	select {
+	case c.inbox <- m:
+		return true
+	case <-c.context.Done():
+		return false
+	}
+}
+
+func (c *Control) tick(now time.Time) {
+	c.beat(now)
+	if c.members.Tick(now) {
+		c.logMembers()
+		c.dirty = true
+	}
+	if c.state.Expire(now) {
+		c.dirty = true
+	}
+	c.shareWithSome()
+	c.removeSilent(now)
+}
+
+// beat tells anew that this instance is alive.
+func (c *Control) beat(now time.Time) {
+	c.self.Heartbeat++
+	c.self.Version = c.state.Cursor(lovageyard.TableOrders)
+	c.members.Hear(c.self, now)
+}
+
+// publish makes a new view for traffic.
+func (c *Control) publish() {
+	c.dirty = false
+	view := &catalog.View{
+		Snapshot: c.state.Snapshot(),
+		Live:     c.members.Live(),
+		Ready:    c.state.Ready(),
+		Leaving:  c.leaving,
+		Closing:  c.closing,
+	}
+	var names []string
+	for _, m := range view.Live {
+		names = append(names, m.Name)
+	}
+	if before := c.view.Swap(view); before != nil {
+		c.logChange(before, view)
+	}
+	c.settings.Follower.SetInstances(names)
+	c.settings.Follower.SetCatalog(view.Snapshot)
+}
+
+// logChange writes a line for each change of what this instance believes.
+func (c *Control) logChange(before, after *catalog.View) {
+	if before.Version() != after.Version() {
+		c.settings.Logger.WithFields(logrus.Fields{
+			"version":  after.Version(),
+			"previous": before.Version(),
+			"routes":   len(after.Configuration.Routes),
+		}).Info("configuration in force")
+	}
+	if len(before.Drained) != len(after.Drained) {
+		c.settings.Logger.WithField("failure-domains", keys(after.Drained)).Info("drained failure domains changed")
+	}
+	if before.Ready != after.Ready {
+		c.settings.Logger.WithField("ready", after.Ready).Info("readiness changed")
+	}
+}
+
+func (c *Control) logMembers() {
+	var names []string
+	for _, m := range c.members.Live() {
+		names = append(names, m.Name)
+	}
+	c.settings.Logger.WithField("live", names).Info("live entry instances changed")
+}
+
+// Leave takes this instance out of look-ups and tells its peers; it goes on serving.
+func (c *Control) Leave() {
+	c.post(leave{})
+}
+
+type leave struct{}
+
+func (leave) apply(c *Control) {
+	c.leaving = true
+	c.self.State = lovageyard.StateLeaving
+	c.beat(c.settings.Timer.Now())
+	c.dirty = true
+	c.shareWithAll()
+}
+
+// Refuse makes this instance refuse new requests.
+func (c *Control) Refuse() {
+	c.post(refuse{})
+}
+
+type refuse struct{}
+
+func (refuse) apply(c *Control) {
+	c.closing = true
+	c.dirty = true
+}
+
+// SetSeeds changes the peers to ask before any other is known.
+func (c *Control) SetSeeds(addresses []string) {
+	c.post(seeds(addresses))
+}
+
+type seeds []string
+
+func (m seeds) apply(c *Control) {
+	c.seeds = m
+}
+
+// register writes this instance's row, so that new instances find it.
+func (c *Control) register() {
+	value, err := json.Marshal(c.settings.Self)
+	if err != nil {
+		c.settings.Logger.WithError(err).Error("this instance can't be registered")
+		return
+	}
+	row := lovageyard.Row{Table: lovageyard.TableInstances, Key: c.settings.Self.Name, Value: value}
+	for attempt := 0; c.context.Err() == nil; attempt++ {
+		err := c.settings.Registrar.Put(c.context, row)
+		if err == nil {
+			return
+		}
+		if attempt == 0 {
+			c.settings.Logger.WithError(err).Warn("this instance is not registered yet")
+		}
+		c.pause(registerEvery)
+	}
+}
+
+// pause waits for a span, or less if the loop ends.
+func (c *Control) pause(d time.Duration) {
+	after := c.settings.Timer.After(d)
+	defer after.Close()
+	select {
+	case <-after.C():
+	case <-c.context.Done():
+	}
+}
+
+func (c *Control) counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, c.settings.Metrics)
+}
+
+func isConflict(err error) bool {
+	var conflict *lovageyard.ConflictError
+	return errors.As(err, &conflict)
+}
+
+func keys(set map[string]bool) []string {
+	var names []string
+	for name := range set {
+		names = append(names, name)
+	}
+	return names
+}
--- /dev/null
+++ b/fleet/feed.go
@@ -0,0 +1,159 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/catalog"
+)
+
+// Periods of the calls to the platform.
+const (
+	// watchFor is how long a call waits for changes. A connection that has gone silent is
+	// noticed after it, so that it stays below the time that an instance may be out of touch.
+	watchFor = 3 * time.Second
+	// coalesce is the pause between two calls of one table, in which further changes gather.
+	coalesce = 100 * time.Millisecond
+	// Pauses after calls that failed; they double from the first to the last.
+	firstPause = 200 * time.Millisecond
+	lastPause  = 800 * time.Millisecond
+	// registerEvery is the pause between attempts to write this instance's row.
+	registerEvery = time.Second
+	// forgetAfter is the silence after which another instance's row is removed.
+	forgetAfter = 20 * time.Second
+)
+
+// follow keeps one table up to date until the loop ends.
+func (c *Control) follow(table string) {
+	cursor := int64(0)
+	pause := firstPause
+	for c.context.Err() == nil {
+		news := c.read(table, cursor)
+		news.applied = make(chan int64, 1)
+		if !c.post(news) {
+			return
+		}
+		select {
+		case cursor = <-news.applied:
+		case <-c.context.Done():
+			return
+		}
+		if news.err == nil {
+			pause = firstPause
+			c.pause(coalesce)
+			continue
+		}
+		if errors.Is(news.err, lovageyard.ErrHistoryLost) {
+			cursor = 0
+			continue
+		}
+		c.pause(pause)
+		pause = min(2*pause, lastPause)
+	}
+}
+
+// read makes one call: the whole table if nothing is known, else its changes.
+func (c *Control) read(table string, cursor int64) heard {
+	if cursor == 0 {
+		list, err := c.settings.Feed.List(c.context, table)
+		return heard{table: table, changes: list, whole: true, err: err}
+	}
+	changes, err := c.settings.Feed.Watch(c.context, table, cursor, watchFor)
+	return heard{table: table, changes: changes, err: err}
+}
+
+// heard is the end of a call to the platform.
+type heard struct {
+	table   string
+	changes lovageyard.Changes
+	whole   bool
+	err     error
+	// applied gets the version up to which the table is known.
+	applied chan int64
+}
+
+func (m heard) apply(c *Control) {
+	now := c.settings.Timer.Now()
+	c.counter("platform.reads").Inc(1)
+	if m.err != nil {
+		c.feedFailed(m, now)
+		m.applied <- c.state.Cursor(m.table)
+		return
+	}
+	if since, found := c.failing[m.table]; found {
+		delete(c.failing, m.table)
+		c.state.Returned(m.table, now)
+		c.settings.Logger.WithFields(logrus.Fields{
+			"table":     m.table,
+			"outage-ms": now.Sub(since).Milliseconds(),
+		}).Info("platform regained")
+	}
+	var faults []catalog.Fault
+	if m.whole {
+		faults = c.state.ApplyList(m.table, m.changes, now)
+	} else {
+		_, faults = c.state.ApplyChanges(m.table, m.changes, now)
+	}
+	c.logFaults(faults)
+	if m.whole || len(m.changes.Rows) > 0 {
+		c.dirty = true
+	}
+	m.applied <- c.state.Cursor(m.table)
+}
+
+func (c *Control) feedFailed(m heard, now time.Time) {
+	c.counter("platform.failures").Inc(1)
+	if _, found := c.failing[m.table]; found {
+		return
+	}
+	c.failing[m.table] = now
+	c.settings.Logger.WithError(m.err).WithField("table", m.table).Warn("platform lost")
+}
+
+func (c *Control) logFaults(faults []catalog.Fault) {
+	for _, f := range faults {
+		c.settings.Logger.WithError(f.Err).Warn("a row is not understood; the last good state stays in force")
+	}
+}
+
+// removeSilent removes the rows of instances that have long been silent; the first of the
+// live instances does it for all.
+func (c *Control) removeSilent(now time.Time) {
+	live := c.members.Live()
+	if len(live) == 0 || live[0].Name != c.self.Name || len(c.failing) > 0 {
+		return
+	}
+	alive := make(map[string]bool)
+	for _, m := range c.members.Known() {
+		alive[m.Name] = true
+	}
+	for _, r := range c.state.Since(lovageyard.TableInstances, 0).Rows {
+		if r.Deleted || alive[r.Key] {
+			delete(c.unheard, r.Key)
+			continue
+		}
+		first, found := c.unheard[r.Key]
+		if !found {
+			c.unheard[r.Key] = now
+			continue
+		}
+		if now.Sub(first) >= forgetAfter {
+			c.removeRow(r)
+		}
+	}
+}
+
+func (c *Control) removeRow(r lovageyard.Row) {
+	c.call("remove "+r.Key, func(ctx context.Context) message {
+		if err := c.settings.Registrar.Remove(ctx, r); err != nil && !isConflict(err) {
+			c.settings.Logger.WithError(err).WithField("instance", r.Key).Warn("a silent instance's row is not removed yet")
+			return nil
+		}
+		c.settings.Logger.WithField("instance", r.Key).Info("a silent instance's row was removed")
+		return nil
+	})
+}
--- /dev/null
+++ b/fleet/share.go
@@ -0,0 +1,234 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/instance"
+	"lovageyard.example/lovageyard/peer"
+	"lovageyard.example/lovageyard/peer/wire"
+)
+
+// Limits of the exchange between instances.
+const (
+	// shareFanOut is the number of random peers that an instance exchanges with each tick.
+	shareFanOut = 3
+	// maxMembers bounds the members that one message passes on.
+	maxMembers = 16
+	// maxTold bounds the peers that a leaving instance tells itself.
+	maxTold = 16
+)
+
+// shareWithSome exchanges with a few random peers.
+func (c *Control) shareWithSome() {
+	c.shareWith(shareFanOut)
+}
+
+// shareWithAll exchanges with every known peer, up to a bound.
+func (c *Control) shareWithAll() {
+	c.shareWith(maxTold)
+}
+
+func (c *Control) shareWith(count int) {
+	addresses := c.peerAddresses()
+	c.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, address := range addresses[:min(count, len(addresses))] {
+		c.shareAt(address)
+	}
+}
+
+// peerAddresses returns the addresses of all instances that may be alive.
+func (c *Control) peerAddresses() []string {
+	found := make(map[string]bool)
+	for _, m := range c.members.Heard() {
+		found[m.PeerAddress] = true
+	}
+	for name, m := range c.state.Snapshot().Instances {
+		if _, heard := c.members.Find(name); !heard {
+			found[m.PeerAddress] = true
+		}
+	}
+	if len(found) <= 1 {
+		for _, address := range c.seeds {
+			found[address] = true
+		}
+	}
+	delete(found, c.self.PeerAddress)
+	var addresses []string
+	for address := range found {
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+func (c *Control) shareAt(address string) {
+	request := &wire.ShareRequest{From: peer.FromMember(c.self), Members: c.gossip(), Cursors: c.cursors()}
+	c.call("share "+address, func(ctx context.Context) message {
+		reply, err := c.settings.Peers.Share(ctx, address, request)
+		return shared{address: address, reply: reply, err: err}
+	})
+}
+
+func (c *Control) gossip() []*wire.Member {
+	var out []*wire.Member
+	for _, m := range c.members.Gossip(maxMembers, c.settings.Timer.Now()) {
+		out = append(out, peer.FromMember(m))
+	}
+	return out
+}
+
+func (c *Control) cursors() []*wire.Cursor {
+	var out []*wire.Cursor
+	for _, table := range lovageyard.FollowedTables() {
+		out = append(out, &wire.Cursor{Table: table, Version: c.state.Cursor(table)})
+	}
+	return out
+}
+
+// shared is the end of an exchange that this instance began.
+type shared struct {
+	address string
+	reply   *wire.ShareReply
+	err     error
+}
+
+func (m shared) apply(c *Control) {
+	if m.err != nil {
+		c.counter("peers.failures").Inc(1)
+		c.settings.Logger.WithError(m.err).Debug("a peer did not answer")
+		return
+	}
+	c.counter("peers.exchanges").Inc(1)
+	now := c.settings.Timer.Now()
+	c.hear(m.reply.GetFrom(), m.reply.GetMembers(), now)
+	for _, t := range m.reply.GetChanges() {
+		c.hearChanges(t, now)
+	}
+}
+
+func (c *Control) hear(from *wire.Member, members []*wire.Member, now time.Time) {
+	live := len(c.members.Live())
+	if from.GetInstance() != "" {
+		c.hearMember(peer.ToMember(from), now)
+	}
+	for _, m := range members {
+		c.hearMember(peer.ToMember(m), now)
+	}
+	if len(c.members.Live()) != live {
+		c.logMembers()
+		c.dirty = true
+	}
+}
+
+// hearMember takes in what is said of a member. If an earlier life of this instance seems
+// to be the newer one, as after a step of the time of day, this life is made the newer.
+func (c *Control) hearMember(m instance.Member, now time.Time) {
+	if m.Name != c.self.Name {
+		before, known := c.members.Find(m.Name)
+		c.members.Hear(m, now)
+		if !known || before.State != m.State || before.CallerAddress != m.CallerAddress {
+			c.dirty = true
+		}
+		return
+	}
+	if m.Life > c.self.Life || m.Life == c.self.Life && m.Heartbeat > c.self.Heartbeat {
+		c.self.Life = m.Life + 1
+		c.members.Hear(c.self, now)
+	}
+}
+
+func (c *Control) hearChanges(t *wire.TableChanges, now time.Time) {
+	changes := lovageyard.Changes{After: t.GetChanges().GetAfter(), To: t.GetChanges().GetTo()}
+	for _, r := range t.GetChanges().GetRows() {
+		changes.Rows = append(changes.Rows, lovageyard.Row{
+			Table:   t.GetTable(),
+			Key:     r.GetKey(),
+			Version: r.GetVersion(),
+			Value:   r.GetValue(),
+			Deleted: r.GetDeleted(),
+		})
+	}
+	applied, faults := c.state.ApplyChanges(t.GetTable(), changes, now)
+	c.logFaults(faults)
+	if applied && len(changes.Rows) > 0 {
+		c.dirty = true
+	}
+}
+
+// Share answers an exchange that a peer began.
+func (c *Control) Share(ctx context.Context, r *wire.ShareRequest) (*wire.ShareReply, error) {
+	answer := make(chan *wire.ShareReply, 1)
+	if !c.post(asked{request: r, answer: answer}) {
+		return nil, context.Canceled
+	}
+	select {
+	case reply := <-answer:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-c.context.Done():
+		return nil, context.Canceled
+	}
+}
+
+// asked is an exchange that a peer began.
+type asked struct {
+	request *wire.ShareRequest
+	answer  chan *wire.ShareReply
+}
+
+func (m asked) apply(c *Control) {
+	c.hear(m.request.GetFrom(), m.request.GetMembers(), c.settings.Timer.Now())
+	m.answer <- &wire.ShareReply{
+		From:    peer.FromMember(c.self),
+		Members: c.gossip(),
+		Changes: c.changesFor(m.request.GetCursors()),
+	}
+}
+
+// changesFor returns the rows that a peer lacks.
+func (c *Control) changesFor(cursors []*wire.Cursor) []*wire.TableChanges {
+	var out []*wire.TableChanges
+	for _, cursor := range cursors {
+		if c.state.Cursor(cursor.GetTable()) <= cursor.GetVersion() {
+			continue
+		}
+		changes := c.state.Since(cursor.GetTable(), cursor.GetVersion())
+		table := &wire.TableChanges{Table: cursor.GetTable(), Changes: &wire.Changes{After: changes.After, To: changes.To}}
+		for _, r := range changes.Rows {
+			table.Changes.Rows = append(table.Changes.Rows, &wire.Row{
+				Key:     r.Key,
+				Version: r.Version,
+				Value:   r.Value,
+				Deleted: r.Deleted,
+			})
+		}
+		out = append(out, table)
+	}
+	return out
+}
+
+// call runs f outside the loop and posts its result; one call of a name runs at a time.
+func (c *Control) call(name string, f func(ctx context.Context) message) {
+	if c.busy[name] {
+		return
+	}
+	c.busy[name] = true
+	c.calls.Go(func() {
+		c.post(finished{name: name, result: f(c.context)})
+	})
+}
+
+// finished is the end of a call.
+type finished struct {
+	name   string
+	result message
+}
+
+func (m finished) apply(c *Control) {
+	delete(c.busy, m.name)
+	if m.result != nil {
+		m.result.apply(c)
+	}
+}
--- a/instance.go
+++ b/instance.go
@@ -35,6 +35,8 @@
 	Slots         int           `json:"slots"`
 	Connections   int           `json:"connections"`
 	State         InstanceState `json:"state"`
+	// ColdFor is how much longer the server was slow when the platform was told.
+	ColdFor Duration `json:"cold-for,omitzero"`
 }
 
 // Listing is one answer of the platform's instance list, which may lag.
--- a/instance/table.go
+++ b/instance/table.go
@@ -63,6 +63,14 @@
 	live   []lovageyard.EntryInstance
 	relays map[string][]string
 	turn   int
+	// silence is the patience with every member, if set; see SetPatience.
+	silence time.Duration
+}
+
+// SetPatience sets one patience for all members, wherever they are: for fleets whose
+// members exchange directly with random others, so that word is never long on its way.
+func (t *Table) SetPatience(silence time.Duration) {
+	t.silence = silence
 }
 
 // NewTable returns the table of an instance that knows only itself.
@@ -175,6 +183,9 @@
 }
 
 func (t *Table) patience(e *entry) time.Duration {
+	if t.silence > 0 {
+		return t.silence
+	}
 	if e.member.FailureDomain == t.domain {
 		return SuspectAfter
 	}
--- /dev/null
+++ b/link/conn.go
@@ -0,0 +1,118 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Sizes of a connection's buffers; most requests and answers are below 2 KiB.
+const (
+	readBufferBytes  = 4 << 10
+	writeBufferBytes = 4 << 10
+)
+
+// past is a deadline that ends reads and writes at once.
+var past = time.Unix(1, 0)
+
+// conn is one connection to a backend server; it carries one request at a time.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// written counts the bytes that were handed to the kernel.
+	written atomic.Int64
+	// idleSince is when the last answer ended, and idleFor how long it may be reused after.
+	idleSince time.Time
+	idleFor   time.Duration
+}
+
+// Write counts the bytes that leave.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// dial opens a connection that notices within userTimeout that the other side is silent.
+func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	dialer := net.Dialer{
+		Timeout: timeout,
+		Control: setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+	}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, idleFor: defaultIdle}
+	c.reader = bufio.NewReaderSize(raw, readBufferBytes)
+	c.writer = bufio.NewWriterSize(c, writeBufferBytes)
+	return c, nil
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
+
+// isQuiet says whether an idle connection is still open and has no stray bytes.
+func (c *conn) isQuiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rawConn, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = rawConn.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, failure := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = failure == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// keep notes how long the connection may stay idle, by what the answer said of it.
+func (c *conn) keep(h http.Header, now time.Time) {
+	c.idleSince = now
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if !found {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			c.idleFor = max(0, time.Duration(seconds)*time.Second-idleMargin)
+		}
+	}
+}
+
+// reusable says whether the connection may carry another request after being idle.
+func (c *conn) reusable(now time.Time, limit time.Duration) bool {
+	return now.Sub(c.idleSince) < min(c.idleFor, limit)
+}
--- /dev/null
+++ b/link/link.go
@@ -0,0 +1,304 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovageyard.example/lovageyard"
+)
+
+// Bounds of connections.
+const (
+	// dialTimeout is above a round trip between regions with one lost packet.
+	dialTimeout = 700 * time.Millisecond
+	// userTimeout is how long sent bytes may go without a word from the other side; it
+	// covers a few retransmissions on a link that loses packets.
+	userTimeout = 900 * time.Millisecond
+	// Keep-alive probes find peers that fell silent while a request is at work.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+	// defaultIdle holds for servers that do not say how long they keep a connection.
+	defaultIdle = 4 * time.Second
+	// idleMargin keeps reuse clear of the moment at which a server closes.
+	idleMargin = 1500 * time.Millisecond
+	// unsafeIdle bounds reuse for requests that can't be repeated: a connection that was
+	// used a moment ago has hardly been closed since.
+	unsafeIdle = 2 * time.Second
+	// maxStray is how many answers that belong to other requests are skipped.
+	maxStray = 3
+	// maxWhole is the size up to which an answer is read whole before it is passed on.
+	maxWhole = 1 << 20
+)
+
+// Codec translates the headers of the wire.
+type Codec interface {
+	Answer(r *http.Response) lovageyard.AnswerMeta
+}
+
+// Request is one request as a backend server gets it.
+type Request struct {
+	Method string
+	// Target is the path and query as the client wrote them.
+	Target        string
+	Host          string
+	Header        http.Header
+	Body          []byte
+	ID            string
+	Idempotent    bool
+	Server        string
+	ServerAddress string
+}
+
+// Answer is a whole answer of a backend server.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Meta   lovageyard.AnswerMeta
+	// DialTime is how long a new connection took; 0 if one was reused.
+	DialTime time.Duration
+}
+
+// Link keeps the connections to all backend servers.
+type Link struct {
+	codec Codec
+	timer lovageyard.Timer
+
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	closed bool
+	opened int64
+}
+
+// New returns a Link without connections.
+func New(c Codec, t lovageyard.Timer) *Link {
+	return &Link{codec: c, timer: t, idle: make(map[string][]*conn)}
+}
+
+// Send makes one attempt. The error is a *lovageyard.RequestError. When ctx ends, the
+// connection is closed, by which most servers give up the request.
+func (l *Link) Send(ctx context.Context, r Request) (*Answer, error) {
+	c := l.take(r)
+	if c == nil {
+		return l.sendFresh(ctx, r)
+	}
+	answer, err := l.exchange(ctx, c, r)
+	if err != nil && errors.Is(err, errNoAnswer) && r.Idempotent && ctx.Err() == nil {
+		// The server closed the idle connection as the request was on its way.
+		return l.sendFresh(ctx, r)
+	}
+	return answer, err
+}
+
+func (l *Link) sendFresh(ctx context.Context, r Request) (*Answer, error) {
+	began := l.timer.Now()
+	c, err := dial(ctx, r.ServerAddress, dialTimeout)
+	if err != nil {
+		return nil, lovageyard.NotRun("the backend server could not be reached", err)
+	}
+	l.mu.Lock()
+	l.opened++
+	l.mu.Unlock()
+	took := l.timer.Now().Sub(began)
+	answer, err := l.exchange(ctx, c, r)
+	if answer != nil {
+		answer.DialTime = took
+	}
+	return answer, err
+}
+
+// errNoAnswer reports a connection that ended before the first byte of an answer.
+var errNoAnswer = errors.New("the connection ended before an answer")
+
+// exchange sends the request on a connection and reads the whole answer.
+func (l *Link) exchange(ctx context.Context, c *conn, r Request) (*Answer, error) {
+	before := c.written.Load()
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
+	answer, reusable, err := l.converse(c, r)
+	// Once the function has begun, the deadline may be set at any moment from now on.
+	untouched := stop()
+	if err == nil {
+		if reusable && untouched {
+			l.give(c, r.Server, answer.Header)
+		} else {
+			c.Close()
+		}
+		return answer, nil
+	}
+	c.Close()
+	if ctx.Err() != nil {
+		err = ctx.Err()
+	}
+	if c.written.Load() == before {
+		return nil, lovageyard.NotRun("no byte of the request was sent", err)
+	}
+	return nil, lovageyard.MayHaveRun("the backend server did not answer", err)
+}
+
+// converse writes the request and reads answers until the one that belongs to it; it
+// says whether the connection may carry another request.
+func (l *Link) converse(c *conn, r Request) (*Answer, bool, error) {
+	request := outgoing(r)
+	if err := request.Write(c.writer); err != nil {
+		return nil, false, errors.Wrap(err, "send")
+	}
+	if err := c.writer.Flush(); err != nil {
+		return nil, false, errors.Wrap(err, "send")
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, false, errors.Wrap(errNoAnswer, err.Error())
+	}
+	for range maxStray {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, false, errors.Wrap(err, "answer")
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		answer, err := l.whole(response)
+		if err != nil {
+			return nil, false, err
+		}
+		if answer.Meta.ID != "" && answer.Meta.ID != r.ID {
+			continue
+		}
+		framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+		return answer, framed && !response.Close && c.reader.Buffered() == 0, nil
+	}
+	return nil, false, errors.New("answer: only answers to other requests came")
+}
+
+// whole reads an answer to its end; one that breaks off is an error.
+func (l *Link) whole(response *http.Response) (*Answer, error) {
+	defer response.Body.Close()
+	var body bytes.Buffer
+	if n := response.ContentLength; n > 0 && n <= maxWhole {
+		body.Grow(int(n))
+	}
+	if _, err := io.Copy(&body, response.Body); err != nil {
+		return nil, errors.Wrap(err, "the answer broke off")
+	}
+	return &Answer{
+		Status: response.StatusCode,
+		Header: response.Header,
+		Body:   body.Bytes(),
+		Meta:   l.codec.Answer(response),
+	}, nil
+}
+
+func outgoing(r Request) *http.Request {
+	request := &http.Request{
+		Method: r.Method,
+		URL:    targetURL(r),
+		Host:   r.Host,
+		Header: r.Header,
+		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if len(r.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(r.Body))
+		request.ContentLength = int64(len(r.Body))
+	}
+	return request
+}
+
+// take returns an idle connection to the request's server, or nil.
+func (l *Link) take(r Request) *conn {
+	limit := defaultIdle * 2
+	if !r.Idempotent {
+		limit = unsafeIdle
+	}
+	now := l.timer.Now()
+	for {
+		c := l.pop(r.Server)
+		if c == nil {
+			return nil
+		}
+		if c.reusable(now, limit) && c.isQuiet() {
+			return c
+		}
+		c.Close()
+	}
+}
+
+func (l *Link) pop(server string) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := l.idle[server]
+	if len(list) == 0 {
+		return nil
+	}
+	// The one used last has been idle for the shortest time.
+	c := list[len(list)-1]
+	l.idle[server] = list[:len(list)-1]
+	return c
+}
+
+// give keeps a connection whose answer has ended for reuse.
+func (l *Link) give(c *conn, server string, header http.Header) {
+	c.keep(header, l.timer.Now())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		c.Close()
+		return
+	}
+	l.idle[server] = append(l.idle[server], c)
+}
+
+// Forget closes the idle connections to a server.
+func (l *Link) Forget(server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.idle[server] {
+		c.Close()
+	}
+	delete(l.idle, server)
+}
+
+// Expire closes connections that have been idle for too long to be reused.
+func (l *Link) Expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for server, list := range l.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if c.reusable(now, defaultIdle*2) {
+				kept = append(kept, c)
+				continue
+			}
+			c.Close()
+		}
+		l.idle[server] = kept
+		if len(kept) == 0 {
+			delete(l.idle, server)
+		}
+	}
+}
+
+// Opened returns the number of connections opened so far.
+func (l *Link) Opened() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.opened
+}
+
+// Close closes the idle connections; those in use close when their answer ends.
+func (l *Link) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for _, list := range l.idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+	clear(l.idle)
+}
--- a/lovageyardd/main.go
+++ b/lovageyardd/main.go
@@ -5,20 +5,56 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
+	"github.com/alecthomas/kong"
+
+	"lovageyard.example/lovageyard/platform"
 	"lovageyard.example/lovageyard/settings"
 )
 
+// commands are the ways to run an entry instance.
+type commands struct {
+	Serve options     `cmd:"" default:"withargs" help:"Serve with operators' classes and placement plans (the default)."`
+	Edge  edgeOptions `cmd:"" help:"Serve on a platform that holds routes, servers and drains and tells of their changes."`
+}
+
+const (
+	programName  = "lovageyardd"
+	programAbout = "An entry instance of the traffic steering system."
+	prefix       = "LOVAGEYARD"
+)
+
 func main() {
-	var o options
-	settings.Parse("lovageyardd", "LOVAGEYARD", "An entry instance of the traffic steering system.", &o)
-	if err := run(o); err != nil {
+	var c commands
+	parsed := settings.Parse(programName, prefix, programAbout, &c, fileOptions()...)
+	var err error
+	if strings.HasPrefix(parsed.Command(), "edge") {
+		err = runEdge(c.Edge)
+	} else {
+		err = run(c.Serve)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "lovageyardd:", err)
 		os.Exit(1)
 	}
 }
 
+// fileOptions reads the settings file that the platform names, if it does.
+func fileOptions() []kong.Option {
+	path := os.Getenv(platform.SettingsVariable)
+	if path == "" {
+		return nil
+	}
+	option, err := settings.File(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lovageyardd:", err)
+		os.Exit(settings.ExitUsage)
+	}
+	return []kong.Option{option}
+}
+
 // run serves until a signal asks to leave; a second signal hurries.
 func run(o options) error {
 	leave, stopLeave := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- /dev/null
+++ b/lovageyardd/reload.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"lovageyard.example/lovageyard/settings"
+)
+
+// settingsFile notices when the settings file is replaced or written.
+type settingsFile struct {
+	path     string
+	modified time.Time
+	size     int64
+}
+
+func newSettingsFile(path string) *settingsFile {
+	f := &settingsFile{path: path}
+	f.changed()
+	return f
+}
+
+// changed says whether the file is another than at the last call.
+func (f *settingsFile) changed() bool {
+	if f.path == "" {
+		return false
+	}
+	info, err := os.Stat(f.path)
+	if err != nil {
+		// The file may be missing for a moment while it is replaced.
+		return false
+	}
+	same := info.ModTime().Equal(f.modified) && info.Size() == f.size
+	f.modified = info.ModTime()
+	f.size = info.Size()
+	return !same
+}
+
+// reload reads the settings anew and applies those that may change while the instance
+// runs: the bounds, the peers to ask first and the log level. Settings that are wrong
+// leave the old ones in force.
+func (e *edge) reload(cause string) {
+	var c commands
+	parsed, err := settings.Read(os.Args[1:], programName, prefix, programAbout, &c, fileOptions()...)
+	if err != nil || parsed == nil {
+		e.logger.WithError(err).WithField("cause", cause).Error("settings not reloaded")
+		return
+	}
+	fresh, err := settings.Logger(c.Edge.LogLevel, c.Edge.LogFormat)
+	if err != nil {
+		e.logger.WithError(err).WithField("cause", cause).Error("settings not reloaded")
+		return
+	}
+	e.logger.SetLevel(fresh.Level)
+	e.dispatch.SetBounds(c.Edge.bounds())
+	e.control.SetSeeds(c.Edge.PeerAddresses)
+	e.logger.WithField("cause", cause).Info("settings reloaded")
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -48,6 +48,17 @@
 	return reply, nil
 }
 
+// Share exchanges liveness and the platform's rows with the peer at an address.
+func (c *Client) Share(ctx context.Context, address string, r *wire.ShareRequest) (*wire.ShareReply, error) {
+	reply, err := wire.NewFleetProtobufClient("http://"+address, c.http).Share(ctx, r)
+	if err != nil {
+		// A connection that has gone silent is not used again.
+		c.http.CloseIdleConnections()
+		return nil, errors.Wrap(err, "share with "+address)
+	}
+	return reply, nil
+}
+
 // Report sends measured demand to the peer at an address.
 func (c *Client) Report(ctx context.Context, address string, r *wire.DemandReport) error {
 	_, err := wire.NewPeersProtobufClient("http://"+address, c.http).Report(ctx, r)
--- /dev/null
+++ b/settings/file.go
@@ -0,0 +1,30 @@
+package settings
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+)
+
+// File returns an option that takes settings from a JSON file of texts whose names are the
+// flags' names, such as {"keep-for": "2s"}. Flags and the environment go before it; an
+// empty text stands for no value.
+func File(path string) (kong.Option, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings file")
+	}
+	values := make(map[string]string)
+	if err := json.Unmarshal(data, &values); err != nil {
+		return nil, errors.Wrapf(err, "settings file %s: a JSON object of texts is expected", path)
+	}
+	resolver := func(_ *kong.Context, _ *kong.Path, flag *kong.Flag) (any, error) {
+		if value := values[flag.Name]; value != "" {
+			return value, nil
+		}
+		return nil, nil
+	}
+	return kong.Resolvers(kong.ResolverFunc(resolver)), nil
+}
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -23,26 +23,38 @@
 // Parse fills the settings from the arguments and the environment, where a flag such as
 // --caller-address is PREFIX_CALLER_ADDRESS, and checks them. It ends the program with
 // ExitUsage and one line on standard error if one is wrong.
-func Parse(name, prefix, about string, into any) *kong.Context {
-	parser, err := kong.New(into,
+func Parse(name, prefix, about string, into any, more ...kong.Option) *kong.Context {
+	parsed, err := Read(os.Args[1:], name, prefix, about, into, more...)
+	if err != nil {
+		fail(os.Stderr, name, err)
+	}
+	return parsed
+}
+
+// Read fills and checks the settings like Parse, and returns the first error.
+func Read(arguments []string, name, prefix, about string, into any, more ...kong.Option) (*kong.Context, error) {
+	parser, err := kong.New(into, append([]kong.Option{
 		kong.Name(name),
 		kong.Description(about),
 		kong.DefaultEnvars(prefix),
 		kong.UsageOnError(),
-	)
+	}, more...)...)
 	if err != nil {
-		fail(os.Stderr, name, err)
+		return nil, err
 	}
-	parsed, err := parser.Parse(os.Args[1:])
+	parsed, err := parser.Parse(arguments)
 	if err != nil {
-		fail(os.Stderr, name, err)
+		return nil, err
 	}
 	if checker, ok := into.(Checker); ok {
-		if err := checker.Check(); err != nil {
-			fail(os.Stderr, name, err)
+		return parsed, checker.Check()
+	}
+	if command := parsed.Selected(); command != nil {
+		if checker, ok := command.Target.Addr().Interface().(Checker); ok {
+			return parsed, checker.Check()
 		}
 	}
-	return parsed
+	return parsed, nil
 }
 
 func fail(w io.Writer, name string, err error) {
--- /dev/null
+++ b/steering.go
@@ -0,0 +1,131 @@
+package lovageyard
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Route sends the requests of one host and path prefix to a service.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash; among the routes of a host the longest wins.
+	Prefix string
+	// Idempotent says that a request may run more than once without harm.
+	Idempotent bool
+	// Timeout bounds the whole request, whatever the client's own deadline is.
+	Timeout time.Duration
+	// Goal is the latency objective of a request.
+	Goal time.Duration
+	// Rank orders routes under overload; 0 is served first.
+	Rank int
+	// Parts are the services that share the requests by weight; at least one.
+	Parts []Part
+	// Attempts is the largest number of servers that one request may be sent to.
+	Attempts int
+	// Sticky says that a server that handled an object lately works faster on it.
+	Sticky bool
+	// HomeRegions are the only regions that may run the requests; empty means all.
+	HomeRegions []string
+}
+
+// Part is one service of a route and its share of the requests.
+type Part struct {
+	Service string
+	Weight  float64
+}
+
+// Service describes what all servers of one service have in common.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int
+	// ColdFor is how long a server is slow after its start.
+	ColdFor time.Duration
+	// ColdRate is the number of requests a second that a cold server bears.
+	ColdRate float64
+}
+
+// Configuration is one version of all routes and services.
+type Configuration struct {
+	Version      uint64
+	Routes       []Route
+	Services     map[string]Service
+	MaxBodyBytes int64
+}
+
+// Tables of the platform that entry instances follow, by our names.
+const (
+	TableOrders    = "orders"
+	TableServers   = "servers"
+	TableInstances = "instances"
+)
+
+// FollowedTables lists the tables that each entry instance follows.
+func FollowedTables() []string {
+	return []string{TableOrders, TableServers, TableInstances}
+}
+
+// Record is one decoded row of a followed table; one of the pointers is set.
+type Record struct {
+	// Key identifies the record within its table.
+	Key string
+	// Version grows with each change of the record.
+	Version int64
+	// Removed says that the record is gone; the pointed-to value then holds only its name.
+	Removed       bool
+	Configuration *Configuration
+	Drain         *DomainDrain
+	Server        *BackendServer
+	Instance      *EntryInstance
+}
+
+// DomainDrain orders that a failure domain's servers get no work until it is removed.
+type DomainDrain struct {
+	FailureDomain string
+}
+
+// ErrHistoryLost reports that the platform no longer has the changes that were asked for.
+var ErrHistoryLost = errors.New("the platform no longer has these changes")
+
+// Feed reads whole tables of the platform and waits for their changes.
+type Feed interface {
+	// List returns all rows of a table as of one version.
+	List(ctx context.Context, table string) (Changes, error)
+	// Watch returns the changes after a version as soon as there are any, or none when the wait is over.
+	Watch(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error)
+}
+
+// Decoder turns a row of a followed table into a record.
+type Decoder interface {
+	Decode(r Row) (Record, error)
+}
+
+// RequestMeta is what a caller's request says about itself.
+type RequestMeta struct {
+	// ID identifies one attempt of a client.
+	ID string
+	// Key names the object that the request concerns, or is "".
+	Key string
+	// Deadline is how long the client waits; 0 means that it did not say.
+	Deadline time.Duration
+}
+
+// AnswerMeta is what a backend server's answer says about itself.
+type AnswerMeta struct {
+	// ID is the request that the answer belongs to, or "" if it does not say.
+	ID string
+	// Sealed says that the server vouches for the answer.
+	Sealed bool
+	// NotRun says that the server did not run the request.
+	NotRun bool
+	// Misdirected says that another server has taken over the address.
+	Misdirected bool
+	// Load is the server's report, if Reported.
+	Load     LoadReport
+	Reported bool
+	// ColdFor is how long the server stays slow, if it said so.
+	ColdFor time.Duration
+}
