Bounds are shared by all registered instances; outages end soon; gossip is compact

Change: while a table can't be read, calls don't wait; only removals heard by the first read after an outage are held, 1.5 s; bounds are divided by all instances that have a row. Gossip passes names and heartbeats, not addresses.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -12,8 +12,9 @@
 // Spans that the state judges rows by.
 const (
 	// lapseGrace is how long the entry of a server that lapsed while the platform was away
-	// is still believed after the platform's return; servers come back within about 2 s.
-	lapseGrace = 2200 * time.Millisecond
+	// is still believed once that is heard. Servers come back within about 2 s of the
+	// platform's return, of which finding that it has returned takes a part.
+	lapseGrace = 1500 * time.Millisecond
 )
 
 // State is owned by one goroutine, which applies changes and takes snapshots.
@@ -21,7 +22,7 @@
 	decoder lovageyard.Decoder
 	cursors map[string]int64
 	// floors are the versions of the whole tables read last: removals before are not known.
-	floors map[string]int64
+	floors  map[string]int64
 	rows    map[string]map[string]lovageyard.Row
 	config  *lovageyard.Configuration
 	servers map[string]*server
@@ -29,8 +30,8 @@
 	members map[string]lovageyard.EntryInstance
 	// undrained is when a failure domain was taken back after a drain.
 	undrained map[string]time.Time
-	// returnedAt is when the servers' table could be read again after an outage.
-	returnedAt time.Time
+	// outage says that the servers' table could not be read since its last change was heard.
+	outage bool
 }
 
 type server struct {
@@ -69,9 +70,10 @@
 	return s.cursors[table]
 }
 
-// Ready says whether the configuration and the servers are known.
+// Ready says whether the configuration, the servers and the instances that share their
+// bounds are known.
 func (s *State) Ready() bool {
-	return s.config != nil && s.cursors[lovageyard.TableServers] > 0
+	return s.config != nil && s.cursors[lovageyard.TableServers] > 0 && s.cursors[lovageyard.TableInstances] > 0
 }
 
 // ApplyList takes in a whole table; rows that it lacks are gone.
@@ -109,10 +111,19 @@
 	return true, faults
 }
 
-// Returned notes that a table can be read again after an outage.
-func (s *State) Returned(table string, now time.Time) {
+// Lost notes that a table can't be read; what is removed by the next changes may only
+// have lapsed.
+func (s *State) Lost(table string) {
 	if table == lovageyard.TableServers {
-		s.returnedAt = now
+		s.outage = true
+	}
+}
+
+// Regained notes that a table has been read again after an outage, once the changes that
+// were missed are applied.
+func (s *State) Regained(table string) {
+	if table == lovageyard.TableServers {
+		s.outage = false
 	}
 }
 
@@ -168,9 +179,14 @@
 		s.removeServer(known, now)
 		return
 	}
+	cold := r.Server.ColdFor.Std()
 	if known == nil {
 		known = &server{}
 		s.servers[r.Key] = known
+		if s.cursors[lovageyard.TableServers] > 0 && s.config != nil {
+			// It has joined just now, whatever its entry says.
+			cold = max(cold, s.config.Services[r.Server.Service].ColdFor)
+		}
 	}
 	leaving := known.State == lovageyard.StateLeaving
 	known.BackendServer = *r.Server
@@ -179,7 +195,9 @@
 		// A server that has said that it leaves never comes back under its name.
 		known.State = lovageyard.StateLeaving
 	}
-	known.coldUntil = now.Add(r.Server.ColdFor.Std())
+	if until := now.Add(cold); cold > 0 && until.After(known.coldUntil) {
+		known.coldUntil = until
+	}
 }
 
 // removeServer drops a server, or waits a little if its entry may only have lapsed.
@@ -187,8 +205,8 @@
 	if known == nil {
 		return
 	}
-	if known.State == lovageyard.StateLive && now.Sub(s.returnedAt) < lapseGrace && !s.returnedAt.IsZero() {
-		known.lapsesAt = s.returnedAt.Add(lapseGrace)
+	if s.outage && known.State == lovageyard.StateLive {
+		known.lapsesAt = now.Add(lapseGrace)
 		return
 	}
 	delete(s.servers, known.Name)
@@ -224,6 +242,17 @@
 	return c
 }
 
+// Instance returns what the platform's row says of an entry instance.
+func (s *State) Instance(name string) (lovageyard.EntryInstance, bool) {
+	known, found := s.members[name]
+	return known, found
+}
+
+// Instances returns all entry instances that have a row on the platform.
+func (s *State) Instances() []lovageyard.EntryInstance {
+	return slices.Collect(maps.Values(s.members))
+}
+
 // Snapshot returns what is known, for readers that do not change it.
 func (s *State) Snapshot() *Snapshot {
 	view := &Snapshot{
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,10 +22,10 @@
 
 // Periods and limits of the control loop.
 const (
-	tickEvery = 500 * time.Millisecond
+	tickEvery = time.Second
 	// silence is how long a peer may be unheard before look-ups stop naming it: a few
 	// rounds of exchange with random peers.
-	silence   = 3 * time.Second
+	silence   = 4 * time.Second
 	inboxSize = 256
 )
 
@@ -80,7 +82,7 @@
 	leaving bool
 	closing bool
 	dirty   bool
-	// fed and failing note for each table whether its feed works and since when it fails.
+	// failing notes since when a table can't be read.
 	failing map[string]time.Time
 	// unheard is when the row of an instance that has never spoken was first seen.
 	unheard map[string]time.Time
@@ -193,17 +195,26 @@
 		Leaving:  c.leaving,
 		Closing:  c.closing,
 	}
-	var names []string
-	for _, m := range view.Live {
-		names = append(names, m.Name)
-	}
 	if before := c.view.Swap(view); before != nil {
 		c.logChange(before, view)
 	}
-	c.settings.Follower.SetInstances(names)
+	c.settings.Follower.SetInstances(c.sharers(view))
 	c.settings.Follower.SetCatalog(view.Snapshot)
 }
 
+// sharers returns the names of all instances that may be at work, those included that
+// this one can't hear: an instance that is cut off must not take more than its share.
+func (c *Control) sharers(view *catalog.View) []string {
+	found := map[string]bool{c.self.Name: true}
+	for _, m := range view.Live {
+		found[m.Name] = true
+	}
+	for name := range view.Instances {
+		found[name] = true
+	}
+	return keys(found)
+}
+
 // logChange writes a line for each change of what this instance believes.
 func (c *Control) logChange(before, after *catalog.View) {
 	if before.Version() != after.Version() {
@@ -306,10 +317,7 @@
 	return errors.As(err, &conflict)
 }
 
+// keys returns the members of a set in order.
 func keys(set map[string]bool) []string {
-	var names []string
-	for name := range set {
-		names = append(names, name)
-	}
-	return names
+	return slices.Sorted(maps.Keys(set))
 }
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -13,9 +13,9 @@
 
 // Periods of the calls to the platform.
 const (
-	// watchFor is how long a call waits for changes. A connection that has gone silent is
-	// noticed after it, so that it stays below the time that an instance may be out of touch.
-	watchFor = 3 * time.Second
+	// watchFor is how long a call waits for changes; a connection that has gone silent is
+	// noticed by its keep-alive probes before that.
+	watchFor = 20 * time.Second
 	// coalesce is the pause between two calls of one table, in which further changes gather.
 	coalesce = 100 * time.Millisecond
 	// Pauses after calls that failed; they double from the first to the last.
@@ -31,8 +31,9 @@
 func (c *Control) follow(table string) {
 	cursor := int64(0)
 	pause := firstPause
+	wait := watchFor
 	for c.context.Err() == nil {
-		news := c.read(table, cursor)
+		news := c.read(table, cursor, wait)
 		news.applied = make(chan int64, 1)
 		if !c.post(news) {
 			return
@@ -44,11 +45,15 @@
 		}
 		if news.err == nil {
 			pause = firstPause
+			wait = watchFor
 			c.pause(coalesce)
 			continue
 		}
+		// Short calls find the end of an outage soon.
+		wait = 0
 		if errors.Is(news.err, lovageyard.ErrHistoryLost) {
 			cursor = 0
+			c.pause(coalesce)
 			continue
 		}
 		c.pause(pause)
@@ -57,12 +62,12 @@
 }
 
 // read makes one call: the whole table if nothing is known, else its changes.
-func (c *Control) read(table string, cursor int64) heard {
+func (c *Control) read(table string, cursor int64, wait time.Duration) heard {
 	if cursor == 0 {
 		list, err := c.settings.Feed.List(c.context, table)
 		return heard{table: table, changes: list, whole: true, err: err}
 	}
-	changes, err := c.settings.Feed.Watch(c.context, table, cursor, watchFor)
+	changes, err := c.settings.Feed.Watch(c.context, table, cursor, wait)
 	return heard{table: table, changes: changes, err: err}
 }
 
@@ -84,14 +89,6 @@
 		m.applied <- c.state.Cursor(m.table)
 		return
 	}
-	if since, found := c.failing[m.table]; found {
-		delete(c.failing, m.table)
-		c.state.Returned(m.table, now)
-		c.settings.Logger.WithFields(logrus.Fields{
-			"table":     m.table,
-			"outage-ms": now.Sub(since).Milliseconds(),
-		}).Info("platform regained")
-	}
 	var faults []catalog.Fault
 	if m.whole {
 		faults = c.state.ApplyList(m.table, m.changes, now)
@@ -99,14 +96,33 @@
 		_, faults = c.state.ApplyChanges(m.table, m.changes, now)
 	}
 	c.logFaults(faults)
+	c.feedWorks(m.table, now)
 	if m.whole || len(m.changes.Rows) > 0 {
 		c.dirty = true
 	}
 	m.applied <- c.state.Cursor(m.table)
 }
 
+// feedWorks notes that a table was read.
+func (c *Control) feedWorks(table string, now time.Time) {
+	since, found := c.failing[table]
+	if !found {
+		return
+	}
+	delete(c.failing, table)
+	c.state.Regained(table)
+	c.settings.Logger.WithFields(logrus.Fields{
+		"table":     table,
+		"outage-ms": now.Sub(since).Milliseconds(),
+	}).Info("platform regained")
+}
+
 func (c *Control) feedFailed(m heard, now time.Time) {
 	c.counter("platform.failures").Inc(1)
+	if errors.Is(m.err, lovageyard.ErrHistoryLost) {
+		return
+	}
+	c.state.Lost(m.table)
 	if _, found := c.failing[m.table]; found {
 		return
 	}
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -13,9 +13,9 @@
 // Limits of the exchange between instances.
 const (
 	// shareFanOut is the number of random peers that an instance exchanges with each tick.
-	shareFanOut = 3
-	// maxMembers bounds the members that one message passes on.
-	maxMembers = 16
+	shareFanOut = 2
+	// maxPulses bounds the instances that one message passes word of.
+	maxPulses = 16
 	// maxTold bounds the peers that a leaving instance tells itself.
 	maxTold = 16
 )
@@ -44,8 +44,8 @@
 	for _, m := range c.members.Heard() {
 		found[m.PeerAddress] = true
 	}
-	for name, m := range c.state.Snapshot().Instances {
-		if _, heard := c.members.Find(name); !heard {
+	for _, m := range c.state.Instances() {
+		if _, heard := c.members.Find(m.Name); !heard {
 			found[m.PeerAddress] = true
 		}
 	}
@@ -63,17 +63,22 @@
 }
 
 func (c *Control) shareAt(address string) {
-	request := &wire.ShareRequest{From: peer.FromMember(c.self), Members: c.gossip(), Cursors: c.cursors()}
+	request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.gossip(), Cursors: c.cursors()}
 	c.call("share "+address, func(ctx context.Context) message {
 		reply, err := c.settings.Peers.Share(ctx, address, request)
 		return shared{address: address, reply: reply, err: err}
 	})
 }
 
-func (c *Control) gossip() []*wire.Member {
-	var out []*wire.Member
-	for _, m := range c.members.Gossip(maxMembers, c.settings.Timer.Now()) {
-		out = append(out, peer.FromMember(m))
+func (c *Control) gossip() []*wire.Pulse {
+	var out []*wire.Pulse
+	for _, m := range c.members.Gossip(maxPulses, c.settings.Timer.Now()) {
+		out = append(out, &wire.Pulse{
+			Instance:  m.Name,
+			Life:      m.Life,
+			Heartbeat: m.Heartbeat,
+			Leaving:   m.State != lovageyard.StateLive,
+		})
 	}
 	return out
 }
@@ -101,19 +106,19 @@
 	}
 	c.counter("peers.exchanges").Inc(1)
 	now := c.settings.Timer.Now()
-	c.hear(m.reply.GetFrom(), m.reply.GetMembers(), now)
+	c.hear(m.reply.GetFrom(), m.reply.GetPulses(), now)
 	for _, t := range m.reply.GetChanges() {
 		c.hearChanges(t, now)
 	}
 }
 
-func (c *Control) hear(from *wire.Member, members []*wire.Member, now time.Time) {
+func (c *Control) hear(from *wire.Member, pulses []*wire.Pulse, now time.Time) {
 	live := len(c.members.Live())
 	if from.GetInstance() != "" {
 		c.hearMember(peer.ToMember(from), now)
 	}
-	for _, m := range members {
-		c.hearMember(peer.ToMember(m), now)
+	for _, p := range pulses {
+		c.hearPulse(p, now)
 	}
 	if len(c.members.Live()) != live {
 		c.logMembers()
@@ -121,6 +126,24 @@
 	}
 }
 
+// hearPulse takes in word of an instance, if it is known who that is.
+func (c *Control) hearPulse(p *wire.Pulse, now time.Time) {
+	m, known := c.members.Find(p.GetInstance())
+	if !known {
+		m.EntryInstance, known = c.state.Instance(p.GetInstance())
+	}
+	if !known {
+		return
+	}
+	m.Life = p.GetLife()
+	m.Heartbeat = p.GetHeartbeat()
+	m.State = lovageyard.StateLive
+	if p.GetLeaving() {
+		m.State = lovageyard.StateLeaving
+	}
+	c.hearMember(m, now)
+}
+
 // hearMember takes in what is said of a member. If an earlier life of this instance seems
 // to be the newer one, as after a step of the time of day, this life is made the newer.
 func (c *Control) hearMember(m instance.Member, now time.Time) {
@@ -179,10 +202,10 @@
 }
 
 func (m asked) apply(c *Control) {
-	c.hear(m.request.GetFrom(), m.request.GetMembers(), c.settings.Timer.Now())
+	c.hear(m.request.GetFrom(), m.request.GetPulses(), c.settings.Timer.Now())
 	m.answer <- &wire.ShareReply{
 		From:    peer.FromMember(c.self),
-		Members: c.gossip(),
+		Pulses:  c.gossip(),
 		Changes: c.changesFor(m.request.GetCursors()),
 	}
 }
