--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -38,6 +39,9 @@
 	// slots, and the reserve keeps room for the urgent ones.
 	fullTop   = 3.0
 	fullOther = 2.5
+	// homeServers is the number of servers in each region that run the requests for one
+	// object. The more there are, the less each remembers of it; two even out their load.
+	homeServers = 1
 	// Bounds of the time after which a refused client should come back.
 	leastRetryAfter = 50 * time.Millisecond
 	retryAfterShare = 3
@@ -79,12 +83,16 @@
 
 // rate returns the best candidate of the own region and of the others, or nil.
 func (t *Table) rate(r Request, s *service, object uint64) (local, remote *candidate) {
-	ranked := t.firstChoices(r, s, object)
+	ranks := t.ranks(s, object)
 	for _, one := range s.servers {
 		if !t.isEligible(r, s, one) {
 			continue
 		}
-		c := t.estimate(r, s, one, object, ranked[one.Region] == one)
+		rank := ranks[one]
+		if object != 0 && rank == 0 {
+			continue
+		}
+		c := t.estimate(r, s, one, object, rank == 1)
 		if c == nil {
 			continue
 		}
@@ -99,23 +107,27 @@
 	return local, remote
 }
 
-// firstChoices returns for each region the server that ranks highest for an object.
-func (t *Table) firstChoices(r Request, s *service, object uint64) map[string]*server {
+// ranks returns for each region the servers that rank highest for an object, best first.
+func (t *Table) ranks(s *service, object uint64) map[*server]int {
 	if object == 0 {
 		return nil
 	}
-	first := make(map[string]*server)
-	scores := make(map[string]uint64)
+	byRegion := make(map[string][]*server)
 	for _, one := range s.servers {
-		if !one.takesWork() || t.drained[one.FailureDomain] {
-			continue
+		if one.takesWork() && !t.drained[one.FailureDomain] {
+			byRegion[one.Region] = append(byRegion[one.Region], one)
 		}
-		if score := mix(object ^ one.hash); first[one.Region] == nil || score > scores[one.Region] {
-			first[one.Region] = one
-			scores[one.Region] = score
+	}
+	ranks := make(map[*server]int)
+	for _, list := range byRegion {
+		slices.SortFunc(list, func(a, b *server) int {
+			return cmp.Compare(mix(object^b.hash), mix(object^a.hash))
+		})
+		for i, one := range list[:min(homeServers, len(list))] {
+			ranks[one] = i + 1
 		}
 	}
-	return first
+	return ranks
 }
 
 // isEligible says whether a server may get the request at all.
