The home server is the first eligible one; one estimate of work a route

Cause: with one home server a region, requests for an object whose home is suspect, cold beyond its bound or already tried were refused. Change: the order is taken over eligible servers. As objects now run at home, warm and cold estimates are one.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -39,9 +39,6 @@
 	// slots, and the reserve keeps room for the urgent ones.
 	fullTop   = 3.0
 	fullOther = 2.5
-	// homeServers is the number of servers in each region that run the requests for one
-	// object. The more there are, the less each remembers of it; two even out their load.
-	homeServers = 1
 	// Bounds of the time after which a refused client should come back.
 	leastRetryAfter = 50 * time.Millisecond
 	retryAfterShare = 3
@@ -54,7 +51,6 @@
 	wait   time.Duration
 	work   time.Duration
 	load   float64
-	warm   bool
 	local  bool
 }
 
@@ -78,21 +74,13 @@
 	if r.Now.Add(best.wait + best.work).After(r.Deadline) {
 		return t.refuse(r, s, "the deadline can't be met")
 	}
-	return t.send(r, s, object, best)
+	return t.send(r, s, best)
 }
 
 // rate returns the best candidate of the own region and of the others, or nil.
 func (t *Table) rate(r Request, s *service, object uint64) (local, remote *candidate) {
-	ranks := t.ranks(s, object)
-	for _, one := range s.servers {
-		if !t.isEligible(r, s, one) {
-			continue
-		}
-		rank := ranks[one]
-		if object != 0 && rank == 0 {
-			continue
-		}
-		c := t.estimate(r, s, one, object, rank == 1)
+	for _, one := range t.homes(r, s, object) {
+		c := t.estimate(r, s, one)
 		if c == nil {
 			continue
 		}
@@ -107,27 +95,27 @@
 	return local, remote
 }
 
-// ranks returns for each region the servers that rank highest for an object, best first.
-func (t *Table) ranks(s *service, object uint64) map[*server]int {
-	if object == 0 {
-		return nil
-	}
-	byRegion := make(map[string][]*server)
+// homes returns the servers that may run a request: for an object the one that comes first
+// in the object's order in each region, as each further one would run it cold and push
+// other objects out of its memory; without an object all that are eligible.
+func (t *Table) homes(r Request, s *service, object uint64) []*server {
+	var eligible []*server
 	for _, one := range s.servers {
-		if one.takesWork() && !t.drained[one.FailureDomain] {
-			byRegion[one.Region] = append(byRegion[one.Region], one)
+		if t.isEligible(r, s, one) {
+			eligible = append(eligible, one)
 		}
 	}
-	ranks := make(map[*server]int)
-	for _, list := range byRegion {
-		slices.SortFunc(list, func(a, b *server) int {
-			return cmp.Compare(mix(object^b.hash), mix(object^a.hash))
-		})
-		for i, one := range list[:min(homeServers, len(list))] {
-			ranks[one] = i + 1
+	if object == 0 {
+		return eligible
+	}
+	first := make(map[string]*server)
+	for _, one := range eligible {
+		best := first[one.Region]
+		if best == nil || mix(object^one.hash) > mix(object^best.hash) {
+			first[one.Region] = one
 		}
 	}
-	return ranks
+	return slices.Collect(maps.Values(first))
 }
 
 // isEligible says whether a server may get the request at all.
@@ -148,7 +136,7 @@
 }
 
 // estimate works out when a server would answer; nil means that it is full.
-func (t *Table) estimate(r Request, s *service, one *server, object uint64, first bool) *candidate {
+func (t *Table) estimate(r Request, s *service, one *server) *candidate {
 	one.fade(r.Now)
 	load := one.load(r.Now)
 	full := fullOther
@@ -160,8 +148,7 @@
 		return nil
 	}
 	c := &candidate{server: one, load: load, local: one.Region == t.settings.Region}
-	c.warm = object == 0 || first || one.isWarm(object, r.Now)
-	c.work = t.workOf(r.Route).expected(c.warm)
+	c.work = t.workOf(r.Route).mean
 	c.wait = time.Duration(max(0, load+1-slots) / slots * float64(s.mean))
 	spread := crowding * math.Pow(load/slots, 2) * float64(s.mean)
 	c.cost = t.distance(one) + time.Duration(one.pace*(float64(c.wait+c.work)+spread)) + t.penalties(r, s, one)
@@ -243,7 +230,7 @@
 	return a
 }
 
-func (t *Table) send(r Request, s *service, object uint64, c *candidate) Choice {
+func (t *Table) send(r Request, s *service, c *candidate) Choice {
 	one := c.server
 	if one.inFlight == 0 {
 		one.busySince = r.Now
@@ -252,9 +239,6 @@
 	if r.Now.Before(one.ColdUntil) {
 		one.cold.note(r.Now)
 	}
-	if object != 0 {
-		one.see(object, r.Now)
-	}
 	reason := "least expected time"
 	if !c.local {
 		reason = "least expected time, in another region"
@@ -264,13 +248,11 @@
 		Expected: c.cost,
 		Wait:     c.wait,
 		Load:     c.load,
-		LoadAge:  r.Now.Sub(one.othersAt),
+		LoadAge:  one.reportAge(r.Now),
 		Reason:   reason,
 		server:   one,
 		service:  s,
 		route:    r.Route,
-		object:   object,
-		warm:     c.warm,
 		work:     c.work,
 		sentAt:   r.Now,
 	}
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -33,10 +33,6 @@
 	// stallMeans is how many mean works a server may go without any answer while it has requests.
 	stallMeans = 4
 	leastStall = 700 * time.Millisecond
-	// seenFor is how long an object is taken to be warm at a server after it ran there.
-	seenFor = 8 * time.Second
-	// maxSeen bounds the objects remembered for each server.
-	maxSeen = 256
 )
 
 // server is one backend server as this instance judges it.
@@ -57,7 +53,6 @@
 	// busySince is when the server last answered, or got its first request since.
 	busySince time.Time
 	gone      bool
-	seen      map[uint64]time.Time
 	cold      coldGate
 }
 
@@ -67,7 +62,6 @@
 		hash:   xxhash.Sum64String(s.Name),
 		slots:  max(1, s.Slots),
 		pace:   1,
-		seen:   make(map[uint64]time.Time),
 	}
 }
 
@@ -147,23 +141,10 @@
 	s.strikes++
 }
 
-// isWarm says whether an object ran at the server lately.
-func (s *server) isWarm(object uint64, now time.Time) bool {
-	at, found := s.seen[object]
-	return found && now.Sub(at) < seenFor
-}
-
-// see notes that an object runs at the server.
-func (s *server) see(object uint64, now time.Time) {
-	if len(s.seen) >= maxSeen {
-		for o, at := range s.seen {
-			if now.Sub(at) >= seenFor {
-				delete(s.seen, o)
-			}
-		}
-		if len(s.seen) >= maxSeen {
-			clear(s.seen)
-		}
+// reportAge returns the age of what the server said of its load, or 0 if it never did.
+func (s *server) reportAge(now time.Time) time.Duration {
+	if s.othersAt.IsZero() {
+		return 0
 	}
-	s.seen[object] = now
+	return now.Sub(s.othersAt)
 }
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -58,8 +58,6 @@
 	server  *server
 	service *service
 	route   *lovageyard.Route
-	object  uint64
-	warm    bool
 	work    time.Duration
 	sentAt  time.Time
 }
@@ -262,7 +260,7 @@
 	c.server.learnPace(took, c.Wait+c.work)
 	c.service.mean += time.Duration(workWeight * float64(max(0, took-c.Wait)-c.service.mean))
 	if w := t.works[c.route.Name]; w != nil && c.Wait < c.work/4 {
-		w.learn(c.warm, took)
+		w.learn(took)
 	}
 }
 
