--- /dev/null
+++ b/catalog/state_test.go
@@ -0,0 +1,240 @@
+package catalog_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/catalog"
+)
+
+// jsonDecoder reads rows whose value is a record in JSON.
+type jsonDecoder struct{}
+
+func (jsonDecoder) Decode(r lovageyard.Row) (lovageyard.Record, error) {
+	record := lovageyard.Record{Key: r.Key, Version: r.Version, Removed: r.Deleted}
+	switch r.Table {
+	case lovageyard.TableServers:
+		record.Server = &lovageyard.BackendServer{}
+	case lovageyard.TableInstances:
+		record.Instance = &lovageyard.EntryInstance{}
+	default:
+		if r.Key == "config" {
+			record.Configuration = &lovageyard.Configuration{}
+		} else {
+			record.Drain = &lovageyard.DomainDrain{FailureDomain: r.Key}
+		}
+	}
+	if r.Deleted {
+		if record.Server != nil {
+			record.Server.Name = r.Key
+		}
+		return record, nil
+	}
+	var err error
+	switch {
+	case record.Server != nil:
+		err = json.Unmarshal(r.Value, record.Server)
+	case record.Instance != nil:
+		err = json.Unmarshal(r.Value, record.Instance)
+	case record.Configuration != nil:
+		err = json.Unmarshal(r.Value, record.Configuration)
+	}
+	return record, errors.Wrap(err, r.Key)
+}
+
+func row(c *qt.C, table, key string, version int64, value any) lovageyard.Row {
+	body, err := json.Marshal(value)
+	c.Assert(err, qt.IsNil)
+	return lovageyard.Row{Table: table, Key: key, Version: version, Value: body}
+}
+
+func desk(name string, state lovageyard.InstanceState) lovageyard.BackendServer {
+	return lovageyard.BackendServer{Name: name, Service: "desk", FailureDomain: "north-1", State: state}
+}
+
+func serverRow(c *qt.C, name string, version int64, state lovageyard.InstanceState) lovageyard.Row {
+	return row(c, lovageyard.TableServers, name, version, desk(name, state))
+}
+
+func removed(table, key string, version int64) lovageyard.Row {
+	return lovageyard.Row{Table: table, Key: key, Version: version, Deleted: true}
+}
+
+func configRow(c *qt.C, rowVersion int64, version uint64) lovageyard.Row {
+	return row(c, lovageyard.TableOrders, "config", rowVersion, lovageyard.Configuration{
+		Version:  version,
+		Services: map[string]lovageyard.Service{"desk": {Name: "desk", ColdFor: 3 * time.Second}},
+	})
+}
+
+func changes(after, to int64, rows ...lovageyard.Row) lovageyard.Changes {
+	return lovageyard.Changes{After: after, To: to, Rows: rows}
+}
+
+// known returns a state that knows a configuration and two servers at version 10.
+func known(c *qt.C, now time.Time) *catalog.State {
+	s := catalog.NewState(jsonDecoder{})
+	s.ApplyList(lovageyard.TableOrders, changes(0, 10, configRow(c, 5, 7)), now)
+	s.ApplyList(lovageyard.TableServers, changes(0, 10,
+		serverRow(c, "a", 3, lovageyard.StateLive), serverRow(c, "b", 4, lovageyard.StateLive)), now)
+	s.ApplyList(lovageyard.TableInstances, changes(0, 10), now)
+	return s
+}
+
+func names(s *catalog.State) []string {
+	var out []string
+	for _, server := range s.Snapshot().Servers {
+		out = append(out, server.Name)
+	}
+	return out
+}
+
+var start = time.Unix(1000, 0)
+
+func TestReadyOnceAllTablesAreKnown(t *testing.T) {
+	c := qt.New(t)
+	s := catalog.NewState(jsonDecoder{})
+	c.Assert(s.Ready(), qt.IsFalse)
+	c.Assert(known(c, start).Ready(), qt.IsTrue)
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	c := qt.New(t)
+	s := known(c, start)
+	s.ApplyChanges(lovageyard.TableOrders, changes(10, 12, configRow(c, 12, 9)), start)
+	c.Assert(s.Snapshot().Version(), qt.Equals, uint64(9))
+	// A peer that lags, a stale list, and an older version under a newer row change nothing.
+	s.ApplyChanges(lovageyard.TableOrders, changes(0, 10, configRow(c, 5, 7)), start)
+	s.ApplyList(lovageyard.TableOrders, changes(0, 11, configRow(c, 5, 7)), start)
+	s.ApplyChanges(lovageyard.TableOrders, changes(12, 13, configRow(c, 13, 8)), start)
+	c.Assert(s.Snapshot().Version(), qt.Equals, uint64(9))
+}
+
+func TestChangesThatLeaveAGapAreRefused(t *testing.T) {
+	c := qt.New(t)
+	s := known(c, start)
+	applied, _ := s.ApplyChanges(lovageyard.TableServers, changes(12, 14, removed(lovageyard.TableServers, "a", 13)), start)
+	c.Assert(applied, qt.IsFalse)
+	c.Assert(names(s), qt.DeepEquals, []string{"a", "b"})
+	c.Assert(s.Cursor(lovageyard.TableServers), qt.Equals, int64(10))
+}
+
+func TestMalformedRowLeavesTheLastGoodState(t *testing.T) {
+	c := qt.New(t)
+	s := known(c, start)
+	bad := lovageyard.Row{Table: lovageyard.TableOrders, Key: "config", Version: 11, Value: []byte("{")}
+	_, faults := s.ApplyChanges(lovageyard.TableOrders, changes(10, 11, bad), start)
+	c.Assert(faults, qt.HasLen, 1)
+	c.Assert(s.Snapshot().Version(), qt.Equals, uint64(7))
+}
+
+func TestRemovedServerIsGoneAtOnce(t *testing.T) {
+	c := qt.New(t)
+	s := known(c, start)
+	s.ApplyChanges(lovageyard.TableServers, changes(10, 11, removed(lovageyard.TableServers, "a", 11)), start)
+	c.Assert(names(s), qt.DeepEquals, []string{"b"})
+}
+
+func TestLeavingServerNeverComesBack(t *testing.T) {
+	c := qt.New(t)
+	s := known(c, start)
+	s.ApplyChanges(lovageyard.TableServers, changes(10, 12, serverRow(c, "a", 11, lovageyard.StateLeaving)), start)
+	s.ApplyChanges(lovageyard.TableServers, changes(12, 13, serverRow(c, "a", 13, lovageyard.StateLive)), start)
+	c.Assert(s.Snapshot().Servers[0].State, qt.Equals, lovageyard.StateLeaving)
+}
+
+// Entries lapse while the platform is away, and come back within seconds of its return.
+func TestEntryThatLapsedInAnOutageIsKeptForAWhile(t *testing.T) {
+	c := qt.New(t)
+	s := known(c, start)
+	s.Lost(lovageyard.TableServers)
+	s.ApplyList(lovageyard.TableServers, changes(0, 20), start)
+	s.Regained(lovageyard.TableServers)
+	c.Assert(names(s), qt.DeepEquals, []string{"a", "b"})
+
+	// One comes back, the other is gone after the wait.
+	s.ApplyChanges(lovageyard.TableServers, changes(20, 21, serverRow(c, "a", 21, lovageyard.StateLive)), start.Add(time.Second))
+	c.Assert(s.Expire(start.Add(1400*time.Millisecond)), qt.IsFalse)
+	c.Assert(s.Expire(start.Add(1600*time.Millisecond)), qt.IsTrue)
+	c.Assert(names(s), qt.DeepEquals, []string{"a"})
+
+	// What is removed after the first read is gone at once: the bound on leaving servers
+	// holds again soon after the platform's return.
+	s.ApplyChanges(lovageyard.TableServers, changes(21, 22, removed(lovageyard.TableServers, "a", 22)), start.Add(1700*time.Millisecond))
+	c.Assert(names(s), qt.HasLen, 0)
+}
+
+func TestListDropsWhatItLacks(t *testing.T) {
+	c := qt.New(t)
+	s := known(c, start)
+	s.ApplyList(lovageyard.TableServers, changes(0, 20, serverRow(c, "b", 4, lovageyard.StateLive)), start)
+	c.Assert(names(s), qt.DeepEquals, []string{"b"})
+}
+
+// A server that joins is cold even if its entry does not say so.
+func TestJoiningServerIsCold(t *testing.T) {
+	c := qt.New(t)
+	s := known(c, start)
+	s.ApplyChanges(lovageyard.TableServers, changes(10, 11, serverRow(c, "c", 11, lovageyard.StateLive)), start)
+	view := s.Snapshot()
+	c.Assert(view.Servers[0].ColdUntil.After(start), qt.IsFalse)
+	c.Assert(view.Servers[2].ColdUntil, qt.Equals, start.Add(3*time.Second))
+}
+
+func TestServersAreColdAfterADrain(t *testing.T) {
+	c := qt.New(t)
+	s := known(c, start)
+	s.ApplyChanges(lovageyard.TableOrders, changes(10, 11, lovageyard.Row{Table: lovageyard.TableOrders, Key: "north-1", Version: 11}), start)
+	c.Assert(s.Snapshot().Drained["north-1"], qt.IsTrue)
+	back := start.Add(time.Minute)
+	s.ApplyChanges(lovageyard.TableOrders, changes(11, 12, removed(lovageyard.TableOrders, "north-1", 12)), back)
+	view := s.Snapshot()
+	c.Assert(view.Drained["north-1"], qt.IsFalse)
+	c.Assert(view.Servers[0].ColdUntil, qt.Equals, back.Add(3*time.Second))
+}
+
+// A peer that knows a server whose removal this instance never saw must not miss it.
+func TestPeerThatLagsGetsTheWholeTableIfRemovalsAreUnknown(t *testing.T) {
+	c := qt.New(t)
+	peer := known(c, start)
+	fresh := catalog.NewState(jsonDecoder{})
+	fresh.ApplyList(lovageyard.TableServers, changes(0, 20, serverRow(c, "b", 4, lovageyard.StateLive)), start)
+	for _, table := range []string{lovageyard.TableServers} {
+		applied, _ := peer.ApplyChanges(table, fresh.Since(table, peer.Cursor(table)), start)
+		c.Assert(applied, qt.IsTrue)
+	}
+	c.Assert(names(peer), qt.DeepEquals, []string{"b"})
+	c.Assert(peer.Cursor(lovageyard.TableServers), qt.Equals, int64(20))
+}
+
+func TestPeerThatLagsGetsOnlyTheChanges(t *testing.T) {
+	c := qt.New(t)
+	ahead, behind := known(c, start), known(c, start)
+	ahead.ApplyChanges(lovageyard.TableServers, changes(10, 11, removed(lovageyard.TableServers, "a", 11)), start)
+	delta := ahead.Since(lovageyard.TableServers, behind.Cursor(lovageyard.TableServers))
+	c.Assert(delta.Rows, qt.HasLen, 1)
+	behind.ApplyChanges(lovageyard.TableServers, delta, start)
+	c.Assert(names(behind), qt.DeepEquals, []string{"b"})
+}
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	c := qt.New(t)
+	s := catalog.NewState(jsonDecoder{})
+	s.ApplyList(lovageyard.TableOrders, changes(0, 1, row(c, lovageyard.TableOrders, "config", 1, lovageyard.Configuration{
+		Version: 1,
+		Routes: []lovageyard.Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/"},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		},
+	})), start)
+	view := s.Snapshot()
+	c.Assert(view.Match("A.example:80", "/x/y/z").Name, qt.Equals, "long")
+	c.Assert(view.Match("a.example", "/x/yz").Name, qt.Equals, "short")
+	c.Assert(view.Match("a.example", "/x"), qt.IsNil)
+	c.Assert(view.Match("b.example", "/x/"), qt.IsNil)
+}
--- /dev/null
+++ b/dispatch/bounds_test.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
+)
+
+var start = time.Unix(1000, 0)
+
+// All instances together keep a cold server's bound in every second, whichever of them
+// believe themselves alone: the bound is divided by all that are registered.
+func TestColdBoundHoldsOverAllInstances(t *testing.T) {
+	c := qt.New(t)
+	bound := ColdBound{Excess: 1.5, Slack: 5}
+	service := lovageyard.Service{Name: "desk", ColdRate: 9.1}
+	allowed := bound.Excess*service.ColdRate + bound.Slack
+	for _, count := range []int{1, 9, 12, 18, 68, 300} {
+		var instances []string
+		for i := range count {
+			instances = append(instances, fmt.Sprintf("entry-%d", i))
+		}
+		total := 0
+		for _, self := range instances {
+			total += coldLimit(bound, service, "server-1", self, instances)
+		}
+		c.Assert(float64(total) <= allowed, qt.IsTrue, qt.Commentf("%d instances send %d", count, total))
+		c.Assert(total > 0, qt.IsTrue, qt.Commentf("%d instances", count))
+	}
+}
+
+func TestColdGateCountsAnySecond(t *testing.T) {
+	c := qt.New(t)
+	var gate coldGate
+	var sends []time.Time
+	for ms := range 5000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if gate.allows(3, now) {
+			gate.note(now)
+			sends = append(sends, now)
+		}
+	}
+	for i := 3; i < len(sends); i++ {
+		c.Assert(sends[i].Sub(sends[i-3]) >= time.Second, qt.IsTrue)
+	}
+	c.Assert(len(sends) >= 12, qt.IsTrue)
+}
+
+// In any window the repeats of all instances stay within the bound.
+func TestRetryBudgetHoldsInAnyWindow(t *testing.T) {
+	c := qt.New(t)
+	bound := RetryBound{Ratio: 0.2, Window: 10 * time.Second, Slack: 60}
+	const instances = 12
+	var spent []time.Time
+	budgets := make([]budget, instances)
+	requests := 0
+	for ms := range 40_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if ms%20 == 0 && ms < 20_000 {
+			budgets[ms/20%instances].earn(bound, now)
+			requests++
+		}
+		// Everything fails: each instance asks for a repeat each 12 ms.
+		if budgets[ms%instances].spend(bound, instances, now) {
+			spent = append(spent, now)
+		}
+	}
+	perWindow := 10_000.0 / 20
+	allowed := bound.Ratio*perWindow + bound.Slack
+	for i := range spent {
+		last := i
+		for last+1 < len(spent) && spent[last+1].Sub(spent[i]) < bound.Window {
+			last++
+		}
+		c.Assert(float64(last-i+1) <= allowed, qt.IsTrue, qt.Commentf("%d repeats from %s", last-i+1, spent[i].Sub(start)))
+	}
+	c.Assert(len(spent) > 0, qt.IsTrue)
+}
+
+func TestSplitKeepsTheWeights(t *testing.T) {
+	c := qt.New(t)
+	parts := []lovageyard.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}
+	var s splitter
+	counts := make(map[string]int)
+	for i := range 200 {
+		counts[s.next(parts)]++
+		if i == 9 {
+			c.Assert(counts["b"], qt.Equals, 1)
+		}
+	}
+	c.Assert(counts, qt.DeepEquals, map[string]int{"a": 180, "b": 20})
+}
--- /dev/null
+++ b/dispatch/choose_test.go
@@ -0,0 +1,194 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/catalog"
+	"lovageyard.example/lovageyard/dispatch"
+)
+
+// yard is a table at an instance in the east, with servers in two regions.
+type yard struct {
+	c     *qt.C
+	table *dispatch.Table
+	view  *catalog.Snapshot
+	route *lovageyard.Route
+	now   time.Time
+}
+
+func newYard(t *testing.T) *yard {
+	y := &yard{c: qt.New(t), now: time.Unix(1000, 0)}
+	y.table = dispatch.NewTable(dispatch.Settings{
+		Self: "entry", FailureDomain: "east-1", Region: "east",
+		Retries: dispatch.RetryBound{Ratio: 0.2, Window: 10 * time.Second, Slack: 10},
+		Cold:    dispatch.ColdBound{Excess: 1, Slack: 0},
+	})
+	y.view = &catalog.Snapshot{
+		Configuration: &lovageyard.Configuration{
+			Version: 1,
+			Routes: []lovageyard.Route{{
+				Name: "r", Idempotent: true, Goal: 200 * time.Millisecond, Sticky: true, Attempts: 2,
+				Parts: []lovageyard.Part{{Service: "desk", Weight: 1}},
+			}},
+			Services: map[string]lovageyard.Service{"desk": {Name: "desk", ColdRate: 2}},
+		},
+		Drained: make(map[string]bool),
+	}
+	for _, region := range []string{"east", "west"} {
+		for i := range 3 {
+			y.view.Servers = append(y.view.Servers, catalog.Server{BackendServer: lovageyard.BackendServer{
+				Name: fmt.Sprintf("%s-%d", region, i), Service: "desk", Region: region, FailureDomain: region + "-1",
+				Slots: 2, State: lovageyard.StateLive,
+			}})
+		}
+	}
+	y.route = &y.view.Configuration.Routes[0]
+	y.table.SetCatalog(y.view)
+	return y
+}
+
+func (y *yard) choose(key string, tried ...string) dispatch.Choice {
+	return y.table.Choose(dispatch.Request{
+		Now: y.now, Route: y.route, Service: "desk", Key: key, Tried: tried,
+		Goal: y.now.Add(200 * time.Millisecond), Deadline: y.now.Add(time.Second),
+	})
+}
+
+func (y *yard) done(choice dispatch.Choice, o dispatch.Outcome) {
+	o.At = y.now
+	y.table.Done(choice, o)
+}
+
+func TestRequestsForAnObjectGoToItsHome(t *testing.T) {
+	y := newYard(t)
+	homes := make(map[string]bool)
+	for i := range 30 {
+		key := fmt.Sprint(i)
+		first := y.choose(key)
+		y.c.Assert(first.Refused, qt.IsFalse)
+		y.c.Assert(first.Server.Region, qt.Equals, "east")
+		y.done(first, dispatch.Outcome{Answered: true})
+		again := y.choose(key)
+		y.c.Assert(again.Server.Name, qt.Equals, first.Server.Name)
+		y.done(again, dispatch.Outcome{Answered: true})
+		homes[first.Server.Name] = true
+	}
+	y.c.Assert(homes, qt.HasLen, 3)
+}
+
+// A full home must not spread its objects over all servers, where they run cold.
+func TestFullHomeRefusesAtOnce(t *testing.T) {
+	y := newYard(t)
+	home := y.choose("k").Server.Name
+	for range 20 {
+		choice := y.choose("k")
+		if choice.Refused {
+			y.c.Assert(choice.RetryAfter > 0, qt.IsTrue)
+			y.c.Assert(choice.RetryAfter < time.Second, qt.IsTrue)
+			return
+		}
+		if choice.Server.Region == "east" {
+			y.c.Assert(choice.Server.Name, qt.Equals, home)
+		}
+	}
+	y.c.Fatal("no request was refused")
+}
+
+func TestServerThatDoesNotAnswerIsLeftAlone(t *testing.T) {
+	y := newYard(t)
+	first := y.choose("k")
+	y.done(first, dispatch.Outcome{Failed: true})
+	second := y.choose("k")
+	y.c.Assert(second.Server.Name, qt.Not(qt.Equals), first.Server.Name)
+	y.done(second, dispatch.Outcome{Answered: true})
+	// It is tried again later, by one request at a time.
+	y.now = y.now.Add(time.Minute)
+	third := y.choose("k")
+	y.c.Assert(third.Server.Name, qt.Equals, first.Server.Name)
+	y.c.Assert(y.choose("k").Server.Name, qt.Not(qt.Equals), first.Server.Name)
+	y.done(third, dispatch.Outcome{Answered: true})
+	y.c.Assert(y.choose("k").Server.Name, qt.Equals, first.Server.Name)
+}
+
+func TestAbandonedAttemptDoesNotSpeakAgainstTheServer(t *testing.T) {
+	y := newYard(t)
+	first := y.choose("k")
+	y.done(first, dispatch.Outcome{Failed: true, Abandoned: true})
+	y.c.Assert(y.choose("k").Server.Name, qt.Equals, first.Server.Name)
+}
+
+func TestServersThatMustNotGetWork(t *testing.T) {
+	y := newYard(t)
+	for i := range y.view.Servers {
+		if y.view.Servers[i].Name == "east-0" {
+			y.view.Servers[i].State = lovageyard.StateLeaving
+		}
+	}
+	y.table.SetCatalog(y.view)
+	// One has been replaced at its address.
+	replaced := y.choose("other")
+	y.done(replaced, dispatch.Outcome{Answered: true, NotRun: true, Misdirected: true})
+	for i := range 60 {
+		choice := y.choose(fmt.Sprint(i))
+		y.c.Assert(choice.Server.Name, qt.Not(qt.Equals), "east-0")
+		y.c.Assert(choice.Server.Name, qt.Not(qt.Equals), replaced.Server.Name)
+		y.done(choice, dispatch.Outcome{Answered: true})
+	}
+	// A drained failure domain gets nothing at all.
+	y.view.Drained["east-1"] = true
+	y.table.SetCatalog(y.view)
+	for i := range 10 {
+		y.c.Assert(y.choose(fmt.Sprint(i)).Server.Region, qt.Equals, "west")
+	}
+}
+
+func TestRoutesWithHomeRegionsStayThere(t *testing.T) {
+	y := newYard(t)
+	y.route.HomeRegions = []string{"west"}
+	for i := range 10 {
+		y.c.Assert(y.choose(fmt.Sprint(i)).Server.Region, qt.Equals, "west")
+	}
+	y.view.Drained["west-1"] = true
+	y.table.SetCatalog(y.view)
+	y.c.Assert(y.choose("k").Refused, qt.IsTrue)
+}
+
+func TestRepeatGoesToAnotherServer(t *testing.T) {
+	y := newYard(t)
+	first := y.choose("k")
+	y.done(first, dispatch.Outcome{Answered: true, Failed: true})
+	y.c.Assert(y.choose("k", first.Server.Name).Server.Name, qt.Not(qt.Equals), first.Server.Name)
+}
+
+func TestColdServerGetsItsShareOnly(t *testing.T) {
+	y := newYard(t)
+	for i := range y.view.Servers {
+		y.view.Servers[i].ColdUntil = y.now.Add(time.Minute)
+	}
+	y.table.SetCatalog(y.view)
+	counts := make(map[string]int)
+	for i := range 200 {
+		if choice := y.choose(fmt.Sprint(i)); !choice.Refused {
+			counts[choice.Server.Name]++
+			y.done(choice, dispatch.Outcome{Answered: true})
+		}
+	}
+	for name, count := range counts {
+		y.c.Assert(count <= 2, qt.IsTrue, qt.Commentf("%s got %d", name, count))
+	}
+	y.c.Assert(len(counts) > 0, qt.IsTrue)
+}
+
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	y := newYard(t)
+	choice := y.table.Choose(dispatch.Request{
+		Now: y.now, Route: y.route, Service: "desk", Key: "k", Goal: y.now, Deadline: y.now.Add(5 * time.Millisecond),
+	})
+	y.c.Assert(choice.Refused, qt.IsTrue)
+	y.c.Assert(choice.Reason, qt.Equals, "the deadline can't be met")
+}
--- a/dispatch/spill.go
+++ b/dispatch/spill.go
@@ -7,7 +7,7 @@
 	// spillRate is how fast the share of a service's requests that run in other regions may
 	// change, in shares a second: two seconds' change stays well below the largest shift
 	// that the operators allow, with room for chance.
-	spillRate = 0.045
+	spillRate = 0.04
 	// wishWeight is the weight of one request's wish in the wanted share.
 	wishWeight = 0.03
 )
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,273 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/link"
+	"lovageyard.example/lovageyard/timer"
+)
+
+// codec reads the identity of an answer.
+type codec struct{}
+
+func (codec) Answer(r *http.Response) lovageyard.AnswerMeta {
+	return lovageyard.AnswerMeta{ID: r.Header.Get("Id"), Sealed: true}
+}
+
+// backendServer answers each request with the next of its scripts, raw; an empty script
+// closes the connection.
+type backendServer struct {
+	listener net.Listener
+	mu       sync.Mutex
+	scripts  []string
+	requests []string
+	conns    int
+}
+
+func newBackendServer(c *qt.C, scripts ...string) *backendServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	b := &backendServer{listener: listener, scripts: scripts}
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			b.conns++
+			b.mu.Unlock()
+			serving.Go(func() { b.serve(conn) })
+		}
+	})
+	c.Cleanup(func() {
+		listener.Close()
+		serving.Wait()
+	})
+	return b
+}
+
+func (b *backendServer) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.requests = append(b.requests, request.Method+" "+request.RequestURI+" "+string(body))
+		script := ""
+		if len(b.scripts) > 0 {
+			script = b.scripts[0]
+			b.scripts = b.scripts[1:]
+		}
+		b.mu.Unlock()
+		if script == "" {
+			return
+		}
+		rest, closing := strings.CutSuffix(script, "CLOSE")
+		if _, err := io.WriteString(conn, rest); err != nil || closing {
+			return
+		}
+	}
+}
+
+func (b *backendServer) seen() ([]string, int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.requests...), b.conns
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func newLink(c *qt.C) *link.Link {
+	l := link.New(codec{}, timer.Clock{})
+	c.Cleanup(l.Close)
+	return l
+}
+
+func request(b *backendServer, id string, idempotent bool) link.Request {
+	return link.Request{
+		Method: http.MethodGet, Target: "/a%2Fb/../c?q=1", Host: "a.example", Header: http.Header{},
+		ID: id, Idempotent: idempotent, Server: "s", ServerAddress: b.listener.Addr().String(),
+	}
+}
+
+// send sends with a bound on the wait, so that a failing test ends.
+func send(c *qt.C, l *link.Link, r link.Request) (*link.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	c.Cleanup(cancel)
+	return l.Send(ctx, r)
+}
+
+func TestRequestReachesTheServerUnchangedAndConnectionsAreReused(t *testing.T) {
+	c := qt.New(t)
+	b := newBackendServer(c, answer("1", "one"), answer("2", "two"))
+	l := newLink(c)
+	first, err := send(c, l, request(b, "1", true))
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(first.Body), qt.Equals, "one")
+	r := request(b, "2", false)
+	r.Method, r.Body = http.MethodPost, []byte("body")
+	second, err := send(c, l, r)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(second.Body), qt.Equals, "two")
+	requests, conns := b.seen()
+	c.Assert(requests, qt.DeepEquals, []string{"GET /a%2Fb/../c?q=1 ", "POST /a%2Fb/../c?q=1 body"})
+	c.Assert(conns, qt.Equals, 1)
+}
+
+func TestUnreachableServerHasNotRunTheRequest(t *testing.T) {
+	c := qt.New(t)
+	b := newBackendServer(c)
+	b.listener.Close()
+	_, err := send(c, newLink(c), request(b, "1", false))
+	c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictNotRun)
+}
+
+func TestLostAnswerMayHaveRun(t *testing.T) {
+	c := qt.New(t)
+	for _, script := range []string{
+		"",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nonCLOSE",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\non\r\nCLOSE",
+		"what is this?\r\n\r\nCLOSE",
+	} {
+		b := newBackendServer(c, script)
+		_, err := send(c, newLink(c), request(b, "1", false))
+		c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictMayHaveRun, qt.Commentf("%q", script))
+		requests, _ := b.seen()
+		c.Assert(requests, qt.HasLen, 1)
+	}
+}
+
+// A server may close an idle connection just as a request is sent on it. A charge must not
+// be sent again then; a look-up may.
+func TestRequestOnAConnectionThatTheServerCloses(t *testing.T) {
+	c := qt.New(t)
+	for _, idempotent := range []bool{true, false} {
+		// The server reads the second request and closes without an answer.
+		b := newBackendServer(c, answer("1", "one"), "", answer("2", "two"))
+		l := newLink(c)
+		_, err := send(c, l, request(b, "1", idempotent))
+		c.Assert(err, qt.IsNil)
+		_, err = send(c, l, request(b, "2", idempotent))
+		requests, _ := b.seen()
+		if idempotent {
+			c.Assert(err, qt.IsNil)
+			c.Assert(requests, qt.HasLen, 3)
+			continue
+		}
+		c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictMayHaveRun)
+		c.Assert(requests, qt.HasLen, 2)
+	}
+}
+
+func TestAnswersToOtherRequestsAreSkipped(t *testing.T) {
+	c := qt.New(t)
+	b := newBackendServer(c, answer("0", "stray")+answer("1", "one"))
+	got, err := send(c, newLink(c), request(b, "1", true))
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got.Body), qt.Equals, "one")
+}
+
+func TestInterimAnswersAreSkipped(t *testing.T) {
+	c := qt.New(t)
+	b := newBackendServer(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+answer("1", "one"))
+	got, err := send(c, newLink(c), request(b, "1", true))
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Status, qt.Equals, http.StatusOK)
+}
+
+func TestConnectionWithStrayBytesIsNotReused(t *testing.T) {
+	c := qt.New(t)
+	b := newBackendServer(c, answer("1", "one")+"stray", answer("2", "two"))
+	l := newLink(c)
+	_, err := send(c, l, request(b, "1", false))
+	c.Assert(err, qt.IsNil)
+	got, err := send(c, l, request(b, "2", false))
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got.Body), qt.Equals, "two")
+	_, conns := b.seen()
+	c.Assert(conns, qt.Equals, 2)
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	c := qt.New(t)
+	b := newBackendServer(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nallCLOSE")
+	got, err := send(c, newLink(c), request(b, "1", false))
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got.Body), qt.Equals, "all")
+}
+
+func TestClosingConnectionsAreNotReused(t *testing.T) {
+	c := qt.New(t)
+	for _, header := range []string{"Connection: close", "Keep-Alive: timeout=1"} {
+		first := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n" + header + "\r\n\r\n"
+		b := newBackendServer(c, first, answer("2", "two"))
+		l := newLink(c)
+		_, err := send(c, l, request(b, "1", true))
+		c.Assert(err, qt.IsNil)
+		_, err = send(c, l, request(b, "2", true))
+		c.Assert(err, qt.IsNil)
+		_, conns := b.seen()
+		c.Assert(conns, qt.Equals, 2, qt.Commentf("%s", header))
+	}
+}
+
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	c := qt.New(t)
+	closed := make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	received := make(chan struct{})
+	go func() {
+		defer close(closed)
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		close(received)
+		// Reading ends when the other side closes.
+		_, _ = reader.ReadByte()
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-received
+		cancel()
+	}()
+	r := request(&backendServer{listener: listener}, "1", true)
+	_, err = newLink(c).Send(ctx, r)
+	c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictMayHaveRun)
+	select {
+	case <-closed:
+	case <-time.After(20 * time.Second):
+		c.Fatal("the connection stayed open")
+	}
+}
