Relays watch the platform for their failure domain

Change: two instances of each failure domain watch; the others wait at both for rows that they lack, and watch themselves as soon as neither reads the platform.

--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -23,7 +23,9 @@
 	// Drained holds the failure domains whose servers get no work.
 	Drained   map[string]bool
 	Instances map[string]lovageyard.EntryInstance
-	matcher   matcher
+	// Cursors are the versions up to which the tables were known.
+	Cursors map[string]int64
+	matcher matcher
 }
 
 // Match returns the route of a request, or nil.
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -259,6 +259,7 @@
 		Configuration: s.config,
 		Drained:       maps.Clone(s.drains),
 		Instances:     maps.Clone(s.members),
+		Cursors:       maps.Clone(s.cursors),
 		matcher:       newMatcher(s.config),
 	}
 	for _, known := range s.servers {
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -67,10 +67,12 @@
 	settings Settings
 	inbox    chan message
 	view     atomic.Pointer[catalog.View]
-	context  context.Context
-	cancel   context.CancelFunc
-	loop     sync.WaitGroup
-	calls    sync.WaitGroup
+	// direct says that this instance watches the platform itself.
+	direct  atomic.Bool
+	context context.Context
+	cancel  context.CancelFunc
+	loop    sync.WaitGroup
+	calls   sync.WaitGroup
 
 	// All below belongs to the loop's goroutine.
 	self    instance.Member
@@ -82,6 +84,10 @@
 	leaving bool
 	closing bool
 	dirty   bool
+	// relays holds the relays that this instance follows, by address.
+	relays map[string]*followed
+	// waiters are peers' calls that wait for rows.
+	waiters []waiter
 	// failing notes since when a table can't be read.
 	failing map[string]time.Time
 	// unheard is when the row of an instance that has never spoken was first seen.
@@ -106,11 +112,13 @@
 		random:   rand.New(rand.NewPCG(s.Seed, s.Seed)),
 		busy:     make(map[string]bool),
 		seeds:    s.Seeds,
+		relays:   make(map[string]*followed),
 		failing:  make(map[string]time.Time),
 		unheard:  make(map[string]time.Time),
 	}
 	c.members.SetPatience(silence)
 	c.context, c.cancel = context.WithCancel(context.Background())
+	c.direct.Store(true)
 	c.publish()
 	return c
 }
@@ -151,6 +159,7 @@
 		}
 		if c.dirty {
 			c.publish()
+			c.answerWaiters(c.settings.Timer.Now())
 		}
 	}
 }
@@ -175,6 +184,8 @@
 		c.dirty = true
 	}
 	c.shareWithSome()
+	c.followRelays()
+	c.answerWaiters(now)
 	c.removeSilent(now)
 }
 
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -18,6 +18,8 @@
 	watchFor = 20 * time.Second
 	// coalesce is the pause between two calls of one table, in which further changes gather.
 	coalesce = 100 * time.Millisecond
+	// turnEvery is how often an instance that follows relays looks whether it still does.
+	turnEvery = 200 * time.Millisecond
 	// Pauses after calls that failed; they double from the first to the last.
 	firstPause = 200 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
@@ -32,7 +34,11 @@
 	cursor := int64(0)
 	pause := firstPause
 	wait := watchFor
-	for c.context.Err() == nil {
+	for c.awaitTurn() {
+		if cursor > 0 {
+			// Relays may have told of changes since.
+			cursor = max(cursor, c.View().Cursors[table])
+		}
 		news := c.read(table, cursor, wait)
 		news.applied = make(chan int64, 1)
 		if !c.post(news) {
@@ -123,6 +129,7 @@
 		return
 	}
 	c.state.Lost(m.table)
+	defer c.answerWaiters(now)
 	if _, found := c.failing[m.table]; found {
 		return
 	}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,232 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/catalog"
+	"lovageyard.example/lovageyard/fleet"
+	"lovageyard.example/lovageyard/peer/wire"
+	"lovageyard.example/lovageyard/platform"
+	"lovageyard.example/lovageyard/platform/fake"
+	"lovageyard.example/lovageyard/timer"
+)
+
+// waitFor bounds each wait; a wait ends as soon as its condition holds.
+const waitFor = 60 * time.Second
+
+// network carries exchanges between instances in one process, and can cut some off.
+type network struct {
+	mu        sync.Mutex
+	instances map[string]*fleet.Control
+	cut       map[string]bool
+}
+
+// peers is the network as one instance sees it.
+type peers struct {
+	network *network
+	self    string
+}
+
+func (p peers) Share(ctx context.Context, address string, r *wire.ShareRequest) (*wire.ShareReply, error) {
+	p.network.mu.Lock()
+	target := p.network.instances[address]
+	cut := p.network.cut[address] || p.network.cut[p.self]
+	p.network.mu.Unlock()
+	if cut || target == nil {
+		return nil, errors.New("cut off")
+	}
+	return target.Share(ctx, r)
+}
+
+// follower ignores views.
+type follower struct{}
+
+func (follower) SetCatalog(*catalog.Snapshot) {}
+func (follower) SetInstances([]string)        {}
+
+// group is a fleet of one failure domain on one stand-in store.
+type group struct {
+	c       *qt.C
+	store   *fake.Store
+	address string
+	network *network
+	clients map[string]*platform.Store
+}
+
+func newGroup(t *testing.T) *group {
+	g := &group{
+		c: qt.New(t), store: fake.NewStore(), clients: make(map[string]*platform.Store),
+		network: &network{instances: make(map[string]*fleet.Control), cut: make(map[string]bool)},
+	}
+	server := httptest.NewServer(g.store)
+	g.address = server.Listener.Addr().String()
+	g.c.Cleanup(func() {
+		g.store.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	g.store.PutConfiguration(lovageyard.Configuration{
+		Version:  1,
+		Services: map[string]lovageyard.Service{"desk": {Name: "desk"}},
+		Routes: []lovageyard.Route{{
+			Name: "r", Host: "a.example", Prefix: "/", Attempts: 1, Parts: []lovageyard.Part{{Service: "desk"}},
+		}},
+	})
+	return g
+}
+
+// start starts an instance; address is the store's, or one that nobody listens at.
+func (g *group) start(name string, life int64, address string, seeds ...string) *fleet.Control {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	client := platform.NewStore(address)
+	control := fleet.New(fleet.Settings{
+		Self: lovageyard.EntryInstance{
+			Name: name, Life: life, FailureDomain: "north-1", Region: "north",
+			CallerAddress: name + ":1", PeerAddress: name + ":2", State: lovageyard.StateLive,
+		},
+		Feed: client, Registrar: client, Decoder: platform.Decoder{}, Peers: peers{network: g.network, self: name + ":2"},
+		Follower: follower{}, Timer: timer.Clock{}, Logger: logger, Metrics: metrics.NewRegistry(), Seeds: seeds, Seed: uint64(life),
+	})
+	g.network.mu.Lock()
+	g.network.instances[name+":2"] = control
+	g.network.mu.Unlock()
+	control.Start()
+	return control
+}
+
+func (g *group) stop(name string) {
+	g.network.mu.Lock()
+	control := g.network.instances[name+":2"]
+	delete(g.network.instances, name+":2")
+	g.network.mu.Unlock()
+	control.Close()
+}
+
+func (g *group) until(what string, condition func() bool) {
+	g.c.Helper()
+	for end := time.Now().Add(waitFor); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	g.c.Fatalf("not reached: %s", what)
+}
+
+func version(c *fleet.Control) uint64 {
+	return c.View().Version()
+}
+
+func TestInstancesFindEachOtherAndFollowTheConfiguration(t *testing.T) {
+	g := newGroup(t)
+	var controls []*fleet.Control
+	for i := range 3 {
+		name := fmt.Sprint("entry-", i)
+		controls = append(controls, g.start(name, 1, g.address))
+		defer g.stop(name)
+	}
+	for _, control := range controls {
+		g.until("three live instances", func() bool { return len(control.View().Live) == 3 && control.View().Ready })
+	}
+	g.store.PutConfiguration(lovageyard.Configuration{Version: 2, Services: map[string]lovageyard.Service{}})
+	for _, control := range controls {
+		g.until("version 2", func() bool { return version(control) == 2 })
+	}
+	// One that leaves is named no more.
+	controls[0].Leave()
+	for _, control := range controls[1:] {
+		g.until("two live instances", func() bool { return len(control.View().Live) == 2 })
+	}
+	g.c.Assert(controls[0].View().Leaving, qt.IsTrue)
+}
+
+// Two of many watch the platform for the rest, also after one of them has gone.
+func TestRelaysWatchThePlatformForTheRest(t *testing.T) {
+	g := newGroup(t)
+	const count = 6
+	for i := range count {
+		g.start(fmt.Sprint("entry-", i), 1, g.address)
+	}
+	controls := g.network.instances
+	g.until("all live", func() bool {
+		for _, control := range controls {
+			if len(control.View().Live) != count || !control.View().Ready {
+				return false
+			}
+		}
+		return true
+	})
+	// The instances that do not relay stop watching once their last call has ended; a
+	// change ends all calls.
+	next := uint64(2)
+	change := func() int {
+		before := g.store.Calls("/rows-feed")
+		g.store.PutConfiguration(lovageyard.Configuration{Version: next})
+		for _, control := range controls {
+			g.until("the change", func() bool { return version(control) == next })
+		}
+		next++
+		return g.store.Calls("/rows-feed") - before
+	}
+	g.until("few calls for a change", func() bool {
+		calls := change()
+		time.Sleep(300 * time.Millisecond)
+		return calls <= 4
+	})
+	for name := range controls {
+		defer g.stop(name[:len(name)-2])
+	}
+}
+
+// An instance that the platform turns away serves by what its peers tell it.
+func TestInstanceWithoutPlatformStartsFromItsPeers(t *testing.T) {
+	g := newGroup(t)
+	g.start("entry-0", 1, g.address)
+	defer g.stop("entry-0")
+	cutOff := g.start("entry-1", 1, "127.0.0.1:1", "entry-0:2")
+	defer g.stop("entry-1")
+	g.until("ready from peers", func() bool { return cutOff.View().Ready && version(cutOff) == 1 })
+	g.store.Drain("north-9")
+	g.until("the drain from peers", func() bool { return cutOff.View().Drained["north-9"] })
+}
+
+// The time of day may step back between two lives of an instance.
+func TestInstanceThatRestartsWithAnOlderClockIsHeard(t *testing.T) {
+	g := newGroup(t)
+	other := g.start("entry-0", 1, g.address)
+	defer g.stop("entry-0")
+	first := g.start("entry-1", 1000, g.address)
+	g.until("both live", func() bool { return len(other.View().Live) == 2 })
+	first.Leave()
+	g.until("one live", func() bool { return len(other.View().Live) == 1 })
+	g.stop("entry-1")
+	g.start("entry-1", 500, g.address)
+	defer g.stop("entry-1")
+	g.until("both live again", func() bool { return len(other.View().Live) == 2 })
+}
+
+func TestLostHistoryIsReadAnew(t *testing.T) {
+	g := newGroup(t)
+	control := g.start("entry-0", 1, g.address)
+	defer g.stop("entry-0")
+	g.store.PutServer(lovageyard.BackendServer{Name: "i-1", Service: "desk", Address: "127.0.0.1:9", State: lovageyard.StateLive})
+	g.until("the server", func() bool { return len(control.View().Servers) == 1 })
+	g.store.SetTrouble(fake.Trouble{Status: 503})
+	g.store.Drain("north-9")
+	g.store.Forget()
+	g.store.SetTrouble(fake.Trouble{})
+	g.until("the drain", func() bool { return control.View().Drained["north-9"] })
+	g.c.Assert(control.View().Servers, qt.HasLen, 1)
+}
--- /dev/null
+++ b/fleet/relay.go
@@ -0,0 +1,195 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/peer"
+	"lovageyard.example/lovageyard/peer/wire"
+)
+
+// In each failure domain a few instances, the relays, watch the platform's tables for the
+// rest, which wait at each of them for rows that they lack: calls to the platform grow with
+// the failure domains and not with the instances. A wrong view of who relays costs calls,
+// never rows: whoever follows no relay that reads the platform watches the platform itself.
+
+// followFor is how long a call to a relay waits for rows.
+const followFor = 20 * time.Second
+
+// followed is the state of the calls to one relay.
+type followed struct {
+	// sound says that the last call brought an answer of a relay that reads the platform.
+	sound bool
+}
+
+// relayAddresses returns the addresses of the relays of the own failure domain, or none if
+// this instance is one of them.
+func (c *Control) relayAddresses() []string {
+	relays := c.members.Relays(c.self.FailureDomain)
+	if slices.Contains(relays, c.self.Name) {
+		return nil
+	}
+	var addresses []string
+	for _, name := range relays {
+		if m, known := c.members.Find(name); known {
+			addresses = append(addresses, m.PeerAddress)
+		}
+	}
+	return addresses
+}
+
+// followRelays keeps a call waiting at each relay, and decides whether this instance
+// watches the platform itself.
+func (c *Control) followRelays() {
+	addresses := c.relayAddresses()
+	for address := range c.relays {
+		if !slices.Contains(addresses, address) {
+			delete(c.relays, address)
+		}
+	}
+	if c.state.Ready() {
+		for _, address := range addresses {
+			if c.relays[address] == nil {
+				c.relays[address] = &followed{}
+			}
+			c.followAt(address)
+		}
+	}
+	c.direct.Store(!c.followsOne())
+}
+
+// followsOne says whether a relay that reads the platform is followed.
+func (c *Control) followsOne() bool {
+	for _, f := range c.relays {
+		if f.sound {
+			return true
+		}
+	}
+	return false
+}
+
+// followAt begins a call to a relay. The first one does not wait, as it is to show soon
+// whether the relay reads the platform.
+func (c *Control) followAt(address string) {
+	request := &wire.ShareRequest{From: peer.FromMember(c.self), Cursors: c.cursors()}
+	if c.relays[address].sound {
+		request.WaitMs = followFor.Milliseconds()
+	}
+	c.call("follow "+address, func(ctx context.Context) message {
+		reply, err := c.settings.Peers.Share(ctx, address, request)
+		return relayed{address: address, reply: reply, err: err}
+	})
+}
+
+// relayed is the end of a call to a relay.
+type relayed struct {
+	address string
+	reply   *wire.ShareReply
+	err     error
+}
+
+func (m relayed) apply(c *Control) {
+	f := c.relays[m.address]
+	if f == nil {
+		return
+	}
+	before := f.sound
+	f.sound = m.err == nil && !m.reply.GetStale()
+	if before != f.sound {
+		c.settings.Logger.WithField("relay", m.address).WithField("sound", f.sound).Info("relay judged anew")
+	}
+	if m.err == nil {
+		now := c.settings.Timer.Now()
+		c.hear(m.reply.GetFrom(), m.reply.GetPulses(), now)
+		for _, t := range m.reply.GetChanges() {
+			c.hearChanges(t, now)
+		}
+	}
+	if f.sound {
+		for _, table := range lovageyard.FollowedTables() {
+			c.feedWorks(table, c.settings.Timer.Now())
+		}
+		// A relay that is not sound is asked again at the next tick.
+		c.followRelays()
+		return
+	}
+	c.direct.Store(!c.followsOne())
+}
+
+// waiter is a peer's call that waits for rows.
+type waiter struct {
+	asked
+	until time.Time
+}
+
+// answerWaiters answers the calls for which there are rows, whose time is over, or that
+// have to know that this instance can't read the platform.
+func (c *Control) answerWaiters(now time.Time) {
+	kept := c.waiters[:0]
+	for _, w := range c.waiters {
+		changes := c.changesFor(w.request.GetCursors())
+		if len(changes) == 0 && now.Before(w.until) && !c.isStale() {
+			kept = append(kept, w)
+			continue
+		}
+		w.answer <- c.reply(changes)
+	}
+	c.waiters = kept
+}
+
+// isStale says whether this instance can't read the platform at present.
+func (c *Control) isStale() bool {
+	return len(c.failing) > 0 || !c.state.Ready()
+}
+
+func (c *Control) reply(changes []*wire.TableChanges) *wire.ShareReply {
+	return &wire.ShareReply{
+		From:    peer.FromMember(c.self),
+		Pulses:  c.gossip(),
+		Changes: changes,
+		Stale:   c.isStale() || !c.direct.Load(),
+	}
+}
+
+// awaitTurn waits until this instance is to watch the platform itself; it returns false
+// when the loop has ended.
+func (c *Control) awaitTurn() bool {
+	for c.context.Err() == nil {
+		if c.direct.Load() {
+			return true
+		}
+		c.pause(turnEvery)
+	}
+	return false
+}
+
+// changesFor returns the rows that a peer lacks.
+func (c *Control) changesFor(cursors []*wire.Cursor) []*wire.TableChanges {
+	var out []*wire.TableChanges
+	for _, cursor := range cursors {
+		if c.state.Cursor(cursor.GetTable()) <= cursor.GetVersion() {
+			continue
+		}
+		changes := c.state.Since(cursor.GetTable(), cursor.GetVersion())
+		if len(changes.Rows) == 0 && changes.After > 0 {
+			continue
+		}
+		out = append(out, wireChanges(cursor.GetTable(), changes))
+	}
+	return out
+}
+
+func wireChanges(table string, changes lovageyard.Changes) *wire.TableChanges {
+	out := &wire.TableChanges{Table: table, Changes: &wire.Changes{After: changes.After, To: changes.To}}
+	for _, r := range changes.Rows {
+		out.Changes.Rows = append(out.Changes.Rows, &wire.Row{
+			Key:     r.Key,
+			Version: r.Version,
+			Value:   r.Value,
+			Deleted: r.Deleted,
+		})
+	}
+	return out
+}
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -202,34 +202,15 @@
 }
 
 func (m asked) apply(c *Control) {
-	c.hear(m.request.GetFrom(), m.request.GetPulses(), c.settings.Timer.Now())
-	m.answer <- &wire.ShareReply{
-		From:    peer.FromMember(c.self),
-		Pulses:  c.gossip(),
-		Changes: c.changesFor(m.request.GetCursors()),
-	}
-}
-
-// changesFor returns the rows that a peer lacks.
-func (c *Control) changesFor(cursors []*wire.Cursor) []*wire.TableChanges {
-	var out []*wire.TableChanges
-	for _, cursor := range cursors {
-		if c.state.Cursor(cursor.GetTable()) <= cursor.GetVersion() {
-			continue
-		}
-		changes := c.state.Since(cursor.GetTable(), cursor.GetVersion())
-		table := &wire.TableChanges{Table: cursor.GetTable(), Changes: &wire.Changes{After: changes.After, To: changes.To}}
-		for _, r := range changes.Rows {
-			table.Changes.Rows = append(table.Changes.Rows, &wire.Row{
-				Key:     r.Key,
-				Version: r.Version,
-				Value:   r.Value,
-				Deleted: r.Deleted,
-			})
-		}
-		out = append(out, table)
+	now := c.settings.Timer.Now()
+	c.hear(m.request.GetFrom(), m.request.GetPulses(), now)
+	changes := c.changesFor(m.request.GetCursors())
+	if m.request.GetWaitMs() > 0 && len(changes) == 0 && !c.isStale() {
+		until := now.Add(time.Duration(m.request.GetWaitMs()) * time.Millisecond)
+		c.waiters = append(c.waiters, waiter{asked: m, until: until})
+		return
 	}
-	return out
+	m.answer <- c.reply(changes)
 }
 
 // call runs f outside the loop and posts its result; one call of a name runs at a time.
--- a/peer/client.go
+++ b/peer/client.go
@@ -14,6 +14,8 @@
 // Bounds of one call to a peer.
 const (
 	callTimeout = time.Second
+	// keepAlive finds, while a call waits, a peer that has gone silent.
+	keepAlive = time.Second
 	dialTimeout = 500 * time.Millisecond
 	idleTimeout = 10 * time.Second
 )
@@ -21,19 +23,20 @@
 // Client calls other entry instances.
 type Client struct {
 	http *http.Client
+	// waiting is for calls that may wait; they are bounded by their contexts.
+	waiting *http.Client
 }
 
 // NewClient returns a client.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: 2},
+	}
+	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout}
 	return &Client{
-		http: &http.Client{
-			Timeout: callTimeout,
-			Transport: &http.Transport{
-				DialContext:     dialer.DialContext,
-				IdleConnTimeout: idleTimeout,
-			},
-		},
+		http:    &http.Client{Timeout: callTimeout, Transport: transport},
+		waiting: &http.Client{Transport: transport},
 	}
 }
 
@@ -50,7 +53,15 @@
 
 // Share exchanges liveness and the platform's rows with the peer at an address.
 func (c *Client) Share(ctx context.Context, address string, r *wire.ShareRequest) (*wire.ShareReply, error) {
-	reply, err := wire.NewFleetProtobufClient("http://"+address, c.http).Share(ctx, r)
+	client := c.http
+	if r.GetWaitMs() > 0 {
+		bound := time.Duration(r.GetWaitMs())*time.Millisecond + callTimeout
+		waited, cancel := context.WithTimeout(ctx, bound)
+		defer cancel()
+		ctx = waited
+		client = c.waiting
+	}
+	reply, err := wire.NewFleetProtobufClient("http://"+address, client).Share(ctx, r)
 	if err != nil {
 		// A connection that has gone silent is not used again.
 		c.http.CloseIdleConnections()
