--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,313 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/catalog"
+	"lovageyard.example/lovageyard/dispatch"
+	"lovageyard.example/lovageyard/entry"
+	"lovageyard.example/lovageyard/link"
+	"lovageyard.example/lovageyard/platform"
+	"lovageyard.example/lovageyard/timer"
+)
+
+// step is what a backend server does with one attempt.
+type step struct {
+	answer *link.Answer
+	err    error
+	// hang waits for the end of the attempt's context.
+	hang bool
+}
+
+// sender plays steps in turn.
+type sender struct {
+	steps []step
+	sent  []link.Request
+	hung  chan struct{}
+}
+
+func (s *sender) Send(ctx context.Context, r link.Request) (*link.Answer, error) {
+	s.sent = append(s.sent, r)
+	if len(s.steps) == 0 {
+		return nil, lovageyard.NotRun("no step left", nil)
+	}
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	if next.hang {
+		if s.hung != nil {
+			close(s.hung)
+		}
+		<-ctx.Done()
+		return nil, lovageyard.MayHaveRun("hung", ctx.Err())
+	}
+	return next.answer, next.err
+}
+
+func (s *sender) Forget(string) {}
+
+type source struct{ view *catalog.View }
+
+func (s source) View() *catalog.View { return s.view }
+
+// yard is a handler over one route with two servers.
+type yard struct {
+	c      *qt.C
+	view   *catalog.View
+	route  *lovageyard.Route
+	sender *sender
+	log    *strings.Builder
+}
+
+func newYard(t *testing.T, steps ...step) *yard {
+	y := &yard{c: qt.New(t), sender: &sender{steps: steps}, log: &strings.Builder{}}
+	snapshot := catalog.NewState(platform.Decoder{}).Snapshot()
+	y.view = &catalog.View{Snapshot: snapshot, Ready: true}
+	y.setRoute(lovageyard.Route{
+		Name: "r", Host: "a.example", Prefix: "/x/", Idempotent: true, Timeout: 20 * time.Second, Goal: 20 * time.Second,
+		Attempts: 2, Parts: []lovageyard.Part{{Service: "desk", Weight: 1}},
+	})
+	return y
+}
+
+func (y *yard) setRoute(r lovageyard.Route) {
+	value, err := json.Marshal(map[string]any{
+		"Version": "00000001",
+		"Routes": map[string]any{r.Name: map[string]any{
+			"Host": r.Host, "Prefix": r.Prefix, "Kind": map[bool]string{true: "idempotent", false: "non_idempotent"}[r.Idempotent],
+			"TimeoutMs": r.Timeout.Milliseconds(), "GoalMs": r.Goal.Milliseconds(), "Attempts": r.Attempts, "Service": "desk",
+		}},
+		"Services": map[string]any{"desk": map[string]any{"MaxConns": 9}},
+		"Limits":   map[string]any{"MaxBodyBytes": 100},
+	})
+	y.c.Assert(err, qt.IsNil)
+	state := catalog.NewState(platform.Decoder{Regions: map[string]string{"north-1": "north"}})
+	state.ApplyList(lovageyard.TableOrders, lovageyard.Changes{To: 1, Rows: []lovageyard.Row{
+		{Table: lovageyard.TableOrders, Key: "config", Version: 1, Value: value},
+	}}, time.Now())
+	server := `{"Addr":"127.0.0.1:9","Info":{"Service":"desk","Zone":"north-1","Slots":4},"Status":{"State":"ready"}}`
+	state.ApplyList(lovageyard.TableServers, lovageyard.Changes{To: 1, Rows: []lovageyard.Row{
+		{Table: lovageyard.TableServers, Key: "i-1", Version: 1, Value: []byte(server)},
+		{Table: lovageyard.TableServers, Key: "i-2", Version: 1, Value: []byte(server)},
+	}}, time.Now())
+	y.view.Snapshot = state.Snapshot()
+}
+
+func (y *yard) handler() http.Handler {
+	logger := logrus.New()
+	logger.SetOutput(y.log)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	table := dispatch.NewTable(dispatch.Settings{
+		Self: "entry", FailureDomain: "north-1", Region: "north",
+		Retries: dispatch.RetryBound{Ratio: 0.2, Window: 10 * time.Second, Slack: 100},
+	})
+	table.SetCatalog(y.view.Snapshot)
+	return entry.NewHandler(entry.Parts{
+		Source: source{y.view}, Codec: platform.Headers{}, Sender: y.sender, Dispatch: table,
+		Timer: timer.Clock{}, Logger: logger, Metrics: metrics.NewRegistry(),
+	})
+}
+
+func (y *yard) ask(method, target, body string) *http.Response {
+	request := httptest.NewRequest(method, target, strings.NewReader(body))
+	if body == "" {
+		request.Body = http.NoBody
+		request.ContentLength = 0
+	}
+	request.Host = "a.example"
+	request.Header.Set("X-Request-Id", "id-1")
+	recorder := httptest.NewRecorder()
+	y.handler().ServeHTTP(recorder, request)
+	return recorder.Result()
+}
+
+func good(status int) step {
+	return step{answer: &link.Answer{
+		Status: status, Header: http.Header{"X-Server-Seal": {"s"}, "Connection": {"close"}}, Body: []byte("whole"),
+		Meta: lovageyard.AnswerMeta{ID: "id-1", Sealed: true},
+	}}
+}
+
+func notRun(status int) step {
+	return step{answer: &link.Answer{
+		Status: status, Header: http.Header{},
+		Meta: lovageyard.AnswerMeta{NotRun: true, Misdirected: status == http.StatusMisdirectedRequest},
+	}}
+}
+
+var (
+	unsealed = step{answer: &link.Answer{Status: http.StatusOK, Header: http.Header{}, Body: []byte("spoiled")}}
+	lost     = step{err: lovageyard.MayHaveRun("the connection ended", nil)}
+	unsent   = step{err: lovageyard.NotRun("not reached", nil)}
+)
+
+// Every way for attempts to end, and what the caller is told of it.
+func TestEveryOutcomeThatACallerCanSee(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		idempotent bool
+		steps      []step
+		status     int
+		attempts   int
+		// cause is what the log line tells.
+		cause string
+	}{
+		{"answered", true, []step{good(200)}, 200, 1, `"outcome":"answered"`},
+		{"answered with the server's refusal", false, []step{good(404)}, 404, 1, `"outcome":"answered"`},
+		{"repeated after a server's failure", true, []step{good(500), good(200)}, 200, 2, "the server answered 500"},
+		{"failed at both servers", true, []step{good(500), good(500)}, 500, 2, `"status":500`},
+		{"a charge that failed is not repeated", false, []step{good(500)}, 500, 1, `"verdict":"ran"`},
+		{"repeated after a lost answer", true, []step{lost, good(200)}, 200, 2, "the connection ended"},
+		{"a charge whose answer was lost", false, []step{lost}, 502, 1, `"verdict":"may-have-run"`},
+		{"a spoiled answer is not passed on", false, []step{unsealed}, 502, 1, `"verdict":"ran"`},
+		{"a charge that a server refused goes to another", false, []step{notRun(503), good(200)}, 200, 2, `"outcome":"repeated"`},
+		{"a charge that reached another's address", false, []step{notRun(421), good(200)}, 200, 2, "the server answered 421"},
+		{"refused by both servers", true, []step{notRun(503), notRun(503)}, 503, 2, `"outcome":"refused"`},
+		{"not reached, not run", false, []step{unsent, unsent}, 503, 2, `"verdict":"not-run"`},
+		{"run at the first, refused by the second", true, []step{lost, notRun(503)}, 502, 2, `"outcome":"failed"`},
+		{"malformed for the server", true, []step{notRun(400)}, 400, 1, `"outcome":"rejected"`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			y := newYard(t, test.steps...)
+			y.setRoute(lovageyard.Route{
+				Name: "r", Host: "a.example", Prefix: "/x/", Idempotent: test.idempotent, Timeout: 20 * time.Second, Goal: 20 * time.Second, Attempts: 2,
+			})
+			response := y.ask(http.MethodGet, "/x/a%2Fb?q", "")
+			y.c.Assert(response.StatusCode, qt.Equals, test.status)
+			y.c.Assert(y.sender.sent, qt.HasLen, test.attempts)
+			y.c.Assert(y.log.String(), qt.Contains, test.cause)
+			y.c.Assert(y.log.String(), qt.Contains, `"request-id":"id-1"`)
+			servers := make(map[string]bool)
+			for _, sent := range y.sender.sent {
+				servers[sent.Server] = true
+				y.c.Assert(sent.Target, qt.Equals, "/x/a%2Fb?q")
+			}
+			y.c.Assert(servers, qt.HasLen, test.attempts)
+			if test.status == http.StatusServiceUnavailable {
+				y.c.Assert(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+				y.c.Assert(response.Header.Get(lovageyard.VerdictHeader), qt.Equals, "not-run")
+			}
+			if test.status == http.StatusBadGateway {
+				y.c.Assert(response.Header.Get("X-Server-Seal"), qt.Equals, "")
+			}
+			if test.status == http.StatusOK {
+				body, err := io.ReadAll(response.Body)
+				y.c.Assert(err, qt.IsNil)
+				y.c.Assert(string(body), qt.Equals, "whole")
+				y.c.Assert(response.Header.Get("X-Server-Seal"), qt.Equals, "s")
+				y.c.Assert(response.Header.Get("Connection"), qt.Equals, "")
+			}
+		})
+	}
+}
+
+func TestRequestsThatAreNotProper(t *testing.T) {
+	y := newYard(t)
+	y.c.Assert(y.ask(http.MethodGet, "/other/", "").StatusCode, qt.Equals, http.StatusNotFound)
+	y.c.Assert(y.ask(http.MethodPost, "/x/", strings.Repeat("b", 101)).StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+	y.c.Assert(y.sender.sent, qt.HasLen, 0)
+}
+
+// An instance that knows no configuration can't tell what is allowed.
+func TestWithoutConfigurationRequestsAreRefusedNotDenied(t *testing.T) {
+	y := newYard(t)
+	y.view = &catalog.View{Snapshot: catalog.NewState(platform.Decoder{}).Snapshot()}
+	y.c.Assert(y.ask(http.MethodGet, "/other/", "").StatusCode, qt.Equals, http.StatusServiceUnavailable)
+}
+
+func TestLeavingInstanceClosesConnectionsAndLaterRefuses(t *testing.T) {
+	y := newYard(t, good(200))
+	y.view.Leaving = true
+	response := y.ask(http.MethodGet, "/x/", "")
+	y.c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	y.c.Assert(response.Header.Get("Connection"), qt.Equals, "close")
+	y.view.Closing = true
+	y.c.Assert(y.ask(http.MethodGet, "/x/", "").StatusCode, qt.Equals, http.StatusServiceUnavailable)
+}
+
+func TestTimeoutOfTheRouteIsKept(t *testing.T) {
+	y := newYard(t, step{hang: true})
+	y.setRoute(lovageyard.Route{Name: "r", Host: "a.example", Prefix: "/x/", Timeout: 400 * time.Millisecond, Attempts: 2})
+	response := y.ask(http.MethodPost, "/x/", "b")
+	y.c.Assert(response.StatusCode, qt.Equals, http.StatusGatewayTimeout)
+	y.c.Assert(y.sender.sent, qt.HasLen, 1)
+	y.c.Assert(string(y.sender.sent[0].Body), qt.Equals, "b")
+}
+
+// A client that leaves frees the server, unless the request can't be repeated.
+func TestClientThatLeaves(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		y := newYard(t, step{hang: true})
+		y.sender.hung = make(chan struct{})
+		timeout := 20 * time.Second
+		if !idempotent {
+			timeout = 500 * time.Millisecond
+		}
+		y.setRoute(lovageyard.Route{Name: "r", Host: "a.example", Prefix: "/x/", Idempotent: idempotent, Timeout: timeout, Attempts: 1})
+		ctx, cancel := context.WithCancel(context.Background())
+		request := httptest.NewRequestWithContext(ctx, http.MethodGet, "/x/", http.NoBody)
+		request.Host = "a.example"
+		ended := make(chan struct{})
+		handler := y.handler()
+		go func() {
+			defer close(ended)
+			handler.ServeHTTP(httptest.NewRecorder(), request)
+		}()
+		<-y.sender.hung
+		cancel()
+		<-ended
+		y.c.Assert(y.log.String(), qt.Contains, `"outcome":"client gone"`)
+	}
+}
+
+func TestLookUpNamesTheOwnRegionFirst(t *testing.T) {
+	c := qt.New(t)
+	member := func(name, region string, state lovageyard.InstanceState) lovageyard.EntryInstance {
+		return lovageyard.EntryInstance{Name: name, Region: region, CallerAddress: name, State: state}
+	}
+	view := &catalog.View{Live: []lovageyard.EntryInstance{
+		member("a", "north", lovageyard.StateLive),
+		member("b", "north", lovageyard.StateLeaving),
+		member("c", "south", lovageyard.StateLive),
+	}}
+	directory := &entry.Directory{Source: source{view}, KeepFor: 2 * time.Second}
+	ask := func(region string) string {
+		recorder := httptest.NewRecorder()
+		target := platform.LookUpPath + "?" + url.Values{"Name": {"a.example"}, "Region": {region}, "Zone": {"z"}}.Encode()
+		directory.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, target, nil))
+		return recorder.Body.String()
+	}
+	c.Assert(ask("north"), qt.Equals, `{"Addresses":["a"],"TtlS":2}`)
+	c.Assert(ask("south"), qt.Equals, `{"Addresses":["c"],"TtlS":2}`)
+	c.Assert(ask("west"), qt.Equals, `{"Addresses":["a","c"],"TtlS":2}`)
+	view.Live = nil
+	c.Assert(ask("north"), qt.Contains, "no entry instance")
+}
+
+func TestReadiness(t *testing.T) {
+	c := qt.New(t)
+	view := &catalog.View{}
+	readiness := &entry.Readiness{Source: source{view}}
+	ask := func() int {
+		recorder := httptest.NewRecorder()
+		readiness.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, platform.ReadyPath, nil))
+		return recorder.Code
+	}
+	c.Assert(ask(), qt.Equals, http.StatusServiceUnavailable)
+	view.Ready = true
+	c.Assert(ask(), qt.Equals, http.StatusOK)
+	view.Leaving = true
+	c.Assert(ask(), qt.Equals, http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/settings/file_test.go
@@ -0,0 +1,57 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard/settings"
+)
+
+type options struct {
+	KeepFor time.Duration     `default:"1s"`
+	Regions map[string]string `mapsep:","`
+	Peers   []string
+}
+
+func read(c *qt.C, text string, arguments ...string) (options, error) {
+	path := filepath.Join(c.TempDir(), "settings.json")
+	c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	file, err := settings.File(path)
+	if err != nil {
+		return options{}, err
+	}
+	var o options
+	_, err = settings.Read(arguments, "test", "LOVAGEYARD_TEST", "", &o, file)
+	return o, err
+}
+
+func TestFileGivesSettings(t *testing.T) {
+	c := qt.New(t)
+	o, err := read(c, `{"keep-for": "3s", "regions": "a=x,b=y", "peers": "p:1,q:2", "unknown": "1"}`)
+	c.Assert(err, qt.IsNil)
+	c.Assert(o, qt.DeepEquals, options{
+		KeepFor: 3 * time.Second, Regions: map[string]string{"a": "x", "b": "y"}, Peers: []string{"p:1", "q:2"},
+	})
+}
+
+func TestFlagsGoBeforeTheFileAndEmptyTextsAreNoValues(t *testing.T) {
+	c := qt.New(t)
+	o, err := read(c, `{"keep-for": "3s", "peers": ""}`, "--keep-for", "5s")
+	c.Assert(err, qt.IsNil)
+	c.Assert(o.KeepFor, qt.Equals, 5*time.Second)
+	c.Assert(o.Peers, qt.HasLen, 0)
+}
+
+func TestFileThatIsWrong(t *testing.T) {
+	c := qt.New(t)
+	_, err := read(c, `{"keep-for": 3}`)
+	c.Assert(err, qt.ErrorMatches, "settings file .*: a JSON object of texts is expected.*")
+	_, err = read(c, `{"keep-for": "soon"}`)
+	c.Assert(err, qt.ErrorMatches, ".*keep-for.*")
+	_, err = settings.File(filepath.Join(c.TempDir(), "none"))
+	c.Assert(err, qt.ErrorMatches, "settings file: .*")
+}
