Regions begin with the spill that their slots call for; fewer calls and connections

Change: the first share is what the region's part of the slots can't carry at seven tenths of load; the instances' table is read at most each 3 s, and an unchanged row is not written again; requests that can't be repeated reuse connections up to 4 s old.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -203,6 +203,9 @@
 	if !t.hasLocal(r, s) || len(r.Tried) > 0 {
 		return better(local, remote)
 	}
+	if s.spill == nil {
+		s.spill = t.firstSpill(s)
+	}
 	s.spill.wish(remote != nil && (local == nil || remote.cost < local.cost), r.Now)
 	position := t.random.Float64()
 	if object != 0 {
@@ -214,6 +217,22 @@
 	return local
 }
 
+// firstSpill returns the share of a service's work that leaves the region to begin with.
+func (t *Table) firstSpill(s *service) *spill {
+	here, all := 0, 0
+	for _, one := range s.servers {
+		if !one.takesWork() || t.drained[one.FailureDomain] {
+			continue
+		}
+		all += one.slots
+		if one.Region == t.settings.Region {
+			here += one.slots
+		}
+	}
+	first := firstSpill(here, all, t.settings.Demand)
+	return &first
+}
+
 // hasLocal says whether the own region has any server that may get the request.
 func (t *Table) hasLocal(r Request, s *service) bool {
 	return slices.ContainsFunc(s.servers, func(one *server) bool {
--- a/dispatch/spill.go
+++ b/dispatch/spill.go
@@ -12,6 +12,10 @@
 	wishWeight = 0.03
 )
 
+// usualLoad is the part of all slots that is taken to be busy when an instance starts and
+// knows no better.
+const usualLoad = 0.7
+
 // spill paces how much of a service's work leaves the region.
 type spill struct {
 	share  float64
@@ -19,6 +23,17 @@
 	at     time.Time
 }
 
+// firstSpill returns the share to begin with: what a region that asks for its part of the
+// work can't run on its part of the slots.
+func firstSpill(slotsHere, slotsAll int, demandHere float64) spill {
+	if slotsAll == 0 || demandHere <= 0 {
+		return spill{}
+	}
+	capacity := float64(slotsHere) / float64(slotsAll)
+	share := max(0, 1-capacity/(usualLoad*demandHere))
+	return spill{share: share, wanted: share}
+}
+
 // wish notes whether a request would be answered sooner elsewhere.
 func (s *spill) wish(elsewhere bool, now time.Time) {
 	sample := 0.0
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -18,9 +18,11 @@
 	Self          string
 	FailureDomain string
 	Region        string
-	Retries       RetryBound
-	Cold          ColdBound
-	Seed          uint64
+	// Demand is the share of all clients' requests that come from the region, if known.
+	Demand  float64
+	Retries RetryBound
+	Cold    ColdBound
+	Seed    uint64
 }
 
 // Request asks for a server.
@@ -85,7 +87,8 @@
 	lovageyard.Service
 	servers []*server
 	budget  budget
-	spill   spill
+	// spill is set by the first request.
+	spill *spill
 	// mean is the mean work of all its requests.
 	mean time.Duration
 	// topRank is the rank of the most urgent route that uses the service.
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -289,15 +289,27 @@
 	c.seeds = m
 }
 
-// register writes this instance's row, so that new instances find it.
+// register writes this instance's row, so that new instances find it, unless an earlier
+// life of it has left the same row.
 func (c *Control) register() {
-	value, err := json.Marshal(c.settings.Self)
+	self := c.settings.Self
+	// A row outlives the life that wrote it.
+	self.Life = 0
+	value, err := json.Marshal(self)
 	if err != nil {
 		c.settings.Logger.WithError(err).Error("this instance can't be registered")
 		return
 	}
-	row := lovageyard.Row{Table: lovageyard.TableInstances, Key: c.settings.Self.Name, Value: value}
+	row := lovageyard.Row{Table: lovageyard.TableInstances, Key: self.Name, Value: value}
 	for attempt := 0; c.context.Err() == nil; attempt++ {
+		view := c.View()
+		if view.Cursors[lovageyard.TableInstances] == 0 {
+			c.pause(turnEvery)
+			continue
+		}
+		if view.Instances[self.Name] == self {
+			return
+		}
 		err := c.settings.Registrar.Put(c.context, row)
 		if err == nil {
 			return
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -16,8 +16,11 @@
 	// watchFor is how long a call waits for changes; a connection that has gone silent is
 	// noticed by its keep-alive probes before that.
 	watchFor = 20 * time.Second
-	// coalesce is the pause between two calls of one table, in which further changes gather.
-	coalesce = 100 * time.Millisecond
+	// coalesce is the pause between two calls of one table, in which further changes gather;
+	// it is well inside the bounds on leaving servers and on configurations, of 2 s and more.
+	coalesce = 200 * time.Millisecond
+	// coalesceInstances is the same for the table of instances, which only introduces them.
+	coalesceInstances = 3 * time.Second
 	// turnEvery is how often an instance that follows relays looks whether it still does.
 	turnEvery = 200 * time.Millisecond
 	// Pauses after calls that failed; they double from the first to the last.
@@ -52,7 +55,7 @@
 		if news.err == nil {
 			pause = firstPause
 			wait = watchFor
-			c.pause(coalesce)
+			c.pause(pauseOf(table))
 			continue
 		}
 		// Short calls find the end of an outage soon.
@@ -67,6 +70,14 @@
 	}
 }
 
+// pauseOf returns the pause between two calls of a table.
+func pauseOf(table string) time.Duration {
+	if table == lovageyard.TableInstances {
+		return coalesceInstances
+	}
+	return coalesce
+}
+
 // read makes one call: the whole table if nothing is known, else its changes.
 func (c *Control) read(table string, cursor int64, wait time.Duration) heard {
 	if cursor == 0 {
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -63,7 +63,11 @@
 }
 
 func (c *Control) shareAt(address string) {
-	request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.gossip(), Cursors: c.cursors()}
+	request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.gossip()}
+	if c.state.Ready() || len(c.failing) > 0 {
+		// An instance that has just started reads whole tables from the platform.
+		request.Cursors = c.cursors()
+	}
 	c.call("share "+address, func(ctx context.Context) message {
 		reply, err := c.settings.Peers.Share(ctx, address, request)
 		return shared{address: address, reply: reply, err: err}
--- a/link/link.go
+++ b/link/link.go
@@ -28,9 +28,11 @@
 	defaultIdle = 4 * time.Second
 	// idleMargin keeps reuse clear of the moment at which a server closes.
 	idleMargin = 1500 * time.Millisecond
+	// longestIdle bounds reuse whatever a server says.
+	longestIdle = 20 * time.Second
 	// unsafeIdle bounds reuse for requests that can't be repeated: a connection that was
 	// used a moment ago has hardly been closed since.
-	unsafeIdle = 2 * time.Second
+	unsafeIdle = 4 * time.Second
 	// maxStray is how many answers that belong to other requests are skipped.
 	maxStray = 3
 	// maxWhole is the size up to which an answer is read whole before it is passed on.
@@ -211,7 +213,7 @@
 
 // take returns an idle connection to the request's server, or nil.
 func (l *Link) take(r Request) *conn {
-	limit := defaultIdle * 2
+	limit := longestIdle
 	if !r.Idempotent {
 		limit = unsafeIdle
 	}
@@ -270,7 +272,7 @@
 	for server, list := range l.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if c.reusable(now, defaultIdle*2) {
+			if c.reusable(now, longestIdle) {
 				kept = append(kept, c)
 				continue
 			}
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -137,6 +137,7 @@
 		Self:          o.Instance,
 		FailureDomain: o.FailureDomain,
 		Region:        o.Region,
+		Demand:        o.demand(),
 		Retries:       retries,
 		Cold:          cold,
 		Seed:          uint64(self.Life),
--- a/lovageyardd/edge_options.go
+++ b/lovageyardd/edge_options.go
@@ -91,3 +91,15 @@
 	retries := dispatch.RetryBound{Ratio: o.RetryRatio, Window: o.RetryWindow, Slack: o.RetrySlack}
 	return retries, dispatch.ColdBound{Excess: o.ColdExcess, Slack: o.ColdSlack}
 }
+
+// demand returns the share of the failure domains that are in the own region, as an
+// estimate of the share of requests that come from it.
+func (o *edgeOptions) demand() float64 {
+	own := 0
+	for _, region := range o.Regions {
+		if region == o.Region {
+			own++
+		}
+	}
+	return float64(own) / float64(max(1, len(o.Regions)))
+}
