--- a/fleet/control.go
+++ b/fleet/control.go
@@ -68,7 +68,9 @@
 	inbox    chan message
 	view     atomic.Pointer[catalog.View]
 	// direct says that this instance watches the platform itself.
-	direct  atomic.Bool
+	direct atomic.Bool
+	// began is when this instance started.
+	began   time.Time
 	context context.Context
 	cancel  context.CancelFunc
 	loop    sync.WaitGroup
@@ -106,6 +108,7 @@
 	c := &Control{
 		settings: s,
 		inbox:    make(chan message, inboxSize),
+		began:    now,
 		self:     self,
 		members:  instance.NewTable(self, now),
 		state:    catalog.NewState(s.Decoder),
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -21,6 +21,10 @@
 	coalesce = 200 * time.Millisecond
 	// coalesceInstances is the same for the table of instances, which only introduces them.
 	coalesceInstances = 3 * time.Second
+	// coalesceStart is the same for all tables in the first startFor of an instance, when
+	// all servers may be registering and it is not known yet who relays.
+	coalesceStart = time.Second
+	startFor      = 4 * time.Second
 	// turnEvery is how often an instance that follows relays looks whether it still does.
 	turnEvery = 200 * time.Millisecond
 	// Pauses after calls that failed; they double from the first to the last.
@@ -55,7 +59,7 @@
 		if news.err == nil {
 			pause = firstPause
 			wait = watchFor
-			c.pause(pauseOf(table))
+			c.pause(c.pauseOf(table))
 			continue
 		}
 		// Short calls find the end of an outage soon.
@@ -71,9 +75,12 @@
 }
 
 // pauseOf returns the pause between two calls of a table.
-func pauseOf(table string) time.Duration {
-	if table == lovageyard.TableInstances {
+func (c *Control) pauseOf(table string) time.Duration {
+	switch {
+	case table == lovageyard.TableInstances:
 		return coalesceInstances
+	case c.settings.Timer.Now().Sub(c.began) < startFor:
+		return coalesceStart
 	}
 	return coalesce
 }
