--- /dev/null
+++ b/entry/deadline_test.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
+)
+
+// A server gets the shorter of the client's deadline and the route's timeout. An answer
+// that it had ready in time is still delivered a little after the timeout, but not so late
+// that the client has left.
+func TestDeadlines(t *testing.T) {
+	c := qt.New(t)
+	const second = time.Second
+	for _, test := range []struct{ timeout, client, server, end time.Duration }{
+		{timeout: second, client: 3 * second, server: second, end: second + answerGrace},
+		{timeout: second, client: second, server: second, end: second - answerMargin},
+		{timeout: 3 * second, client: second, server: second, end: second - answerMargin},
+		{timeout: second, server: second, end: second + answerGrace},
+		{client: second, server: second, end: second - answerMargin},
+		{server: defaultDeadline, end: defaultDeadline},
+	} {
+		x := &exchange{
+			route: &lovageyard.Route{Timeout: test.timeout},
+			meta:  lovageyard.RequestMeta{Deadline: test.client},
+		}
+		x.setDeadlines()
+		c.Assert(x.deadline.Sub(x.began), qt.Equals, test.server)
+		c.Assert(x.end.Sub(x.began), qt.Equals, test.end)
+	}
+	// Operators allow a quarter of a second past the timeout.
+	c.Assert(answerGrace < 250*time.Millisecond, qt.IsTrue)
+}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -21,8 +21,11 @@
 	defaultDeadline = 30 * time.Second
 	// retrySoon is when to come back to another instance: at once, but for the look-up.
 	retrySoon = 50 * time.Millisecond
-	// answerMargin is left of the deadline for the way of our own answer.
+	// answerMargin is left of the client's deadline for the way of our own answer.
 	answerMargin = 10 * time.Millisecond
+	// answerGrace is how long after a route's timeout an answer may still arrive that its
+	// server had ready in time; operators allow a quarter of a second.
+	answerGrace = 170 * time.Millisecond
 	// statusClientGone is logged for a request whose client went away.
 	statusClientGone = 499
 )
@@ -62,7 +65,7 @@
 	if !x.route.Idempotent {
 		parent = context.WithoutCancel(parent)
 	}
-	return context.WithDeadline(parent, x.deadline.Add(-answerMargin))
+	return context.WithDeadline(parent, x.end)
 }
 
 func (x *exchange) choose() dispatch.Choice {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -83,16 +83,18 @@
 
 // exchange is one caller's request on its way.
 type exchange struct {
-	handler  *Handler
-	writer   http.ResponseWriter
-	request  *http.Request
-	view     *catalog.View
-	began    time.Time
-	meta     lovageyard.RequestMeta
-	route    *lovageyard.Route
-	service  string
-	body     []byte
+	handler *Handler
+	writer  http.ResponseWriter
+	request *http.Request
+	view    *catalog.View
+	began   time.Time
+	meta    lovageyard.RequestMeta
+	route   *lovageyard.Route
+	service string
+	body    []byte
+	// deadline is when a server has to be done, and end when its answer is given up here.
 	deadline time.Time
+	end      time.Time
 	goal     time.Time
 	tried    []string
 	// ran says that an attempt may have run the request.
@@ -114,16 +116,26 @@
 		x.reject(status, err.Error())
 		return
 	}
+	x.setDeadlines()
+	x.run()
+}
+
+// setDeadlines sets when the servers have to be done, which is the shorter of the client's
+// deadline and the route's timeout, and when the last answer is given up here.
+func (x *exchange) setDeadlines() {
 	limit := x.route.Timeout
-	if x.meta.Deadline > 0 && (limit <= 0 || x.meta.Deadline < limit) {
-		limit = x.meta.Deadline
-	}
+	end := limit + answerGrace
 	if limit <= 0 {
 		limit = defaultDeadline
+		end = limit
+	}
+	if client := x.meta.Deadline; client > 0 {
+		limit = min(limit, client)
+		end = min(end, client-answerMargin)
 	}
 	x.deadline = x.began.Add(limit)
+	x.end = x.began.Add(end)
 	x.goal = x.began.Add(x.route.Goal)
-	x.run()
 }
 
 // path returns the request's path as the client wrote it, without the query.
