Fault soak, trace and incident from logs, names and milliseconds in log lines

The soak runs entry instances as processes behind proxies, with a seeded plan of faults, and checks promises from what callers and servers see; each check has a test that trips it. lovageyard trace and incident read logs.

--- a/lovageyard/main.go
+++ b/lovageyard/main.go
@@ -33,6 +33,8 @@
 	Move     moveCommands     `cmd:"" help:"Moves of work between sites."`
 	Instance instanceCommands `cmd:"" help:"Entry instances."`
 	Charge   chargeCommands   `cmd:"" help:"Requests that must run at most once."`
+	Trace    traceCommand     `cmd:"" help:"Tell one request's story from logs."`
+	Incident incidentCommand  `cmd:"" help:"Sum up from logs what was refused, failed and changed in a span of time."`
 	Explain  explainCommand   `cmd:"" help:"Tell where a client's requests go, and why."`
 	Status   statusCommand    `cmd:"" help:"Tell how one entry instance and its sites are doing."`
 }
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -97,32 +97,36 @@
 	if err != nil {
 		return nil, err
 	}
-	sink := decision.NewSink(os.Stdout)
-	logger.SetOutput(sink)
 	if o.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(o.MemoryMB) * bytesPerMB))
 	}
+	sockets, err := o.listen()
+	if err != nil {
+		return nil, err
+	}
 	clock := timer.Clock{}
 	self := lovageyard.EntryInstance{
 		Name:          o.Instance,
 		Life:          clock.Now().UnixNano(),
 		FailureDomain: o.FailureDomain,
 		Region:        o.Region,
-		CallerAddress: o.CallerAddress,
-		PeerAddress:   o.PeerAddress,
+		CallerAddress: sockets.callers.Addr().String(),
+		PeerAddress:   sockets.peers.Addr().String(),
 		State:         lovageyard.StateLive,
 	}
+	sink := decision.NewSink(os.Stdout)
+	logger.SetOutput(sink)
+	logger.AddHook(nameHook{instance: o.Instance})
 	e := &edge{options: o, logger: logger, sink: sink, timer: clock, registry: metrics.NewRegistry()}
 	e.assemble(self)
-	if err := e.listen(); err != nil {
-		sink.Close()
-		return nil, err
-	}
 	e.control.Start()
+	e.serveAll(sockets)
 	logger.WithFields(logrus.Fields{
-		"instance":       self.Name,
-		"failure-domain": self.FailureDomain,
-		"caller-address": self.CallerAddress,
+		"failure-domain":  self.FailureDomain,
+		"caller-address":  self.CallerAddress,
+		"peer-address":    self.PeerAddress,
+		"ready-address":   sockets.ready.Addr().String(),
+		"look-up-address": sockets.lookUps.Addr().String(),
 	}).Info("started")
 	return e, nil
 }
@@ -157,42 +161,71 @@
 	})
 }
 
-// listen opens all listeners and begins to serve.
-func (e *edge) listen() error {
-	handler := entry.NewHandler(entry.Parts{
-		Source:   e.control,
-		Codec:    platform.Headers{},
-		Sender:   e.link,
-		Dispatch: e.dispatch,
-		Timer:    e.timer,
-		Logger:   e.logger,
-		Metrics:  e.registry,
-	})
-	o := e.options
-	e.callers = edgeServer(handler)
-	if err := e.serve("caller-address", o.CallerAddress, e.callers); err != nil {
-		return err
-	}
-	for _, s := range []struct {
+// edgeSockets are the sockets of an edge instance; metrics is nil if it serves none.
+type edgeSockets struct {
+	callers net.Listener
+	ready   net.Listener
+	lookUps net.Listener
+	peers   net.Listener
+	metrics net.Listener
+}
+
+// listen opens all sockets; the error names the setting of the one that failed.
+func (o *edgeOptions) listen() (*edgeSockets, error) {
+	s := &edgeSockets{}
+	var opened []net.Listener
+	for _, socket := range []struct {
 		setting string
 		address string
-		handler http.Handler
+		into    *net.Listener
 	}{
-		{"ready-address", o.ReadyAddress, &entry.Readiness{Source: e.control}},
-		{"look-up-address", o.LookUpAddress, &entry.Directory{Source: e.control, KeepFor: min(o.KeepFor, o.KeepForMax)}},
-		{"peer-address", o.PeerAddress, wire.NewFleetServer(e.control)},
-		{"metrics-address", o.MetricsAddress, http.HandlerFunc(e.writeMetrics)},
+		{"caller-address", o.CallerAddress, &s.callers},
+		{"ready-address", o.ReadyAddress, &s.ready},
+		{"look-up-address", o.LookUpAddress, &s.lookUps},
+		{"peer-address", o.PeerAddress, &s.peers},
+		{"metrics-address", o.MetricsAddress, &s.metrics},
 	} {
-		if s.address == "" {
+		if socket.address == "" {
 			continue
 		}
-		server := edgeServer(s.handler)
-		if err := e.serve(s.setting, s.address, server); err != nil {
-			return err
+		listener, err := net.Listen("tcp", socket.address)
+		if err != nil {
+			for _, l := range opened {
+				l.Close()
+			}
+			return nil, errors.Wrap(err, "--"+socket.setting)
 		}
-		e.others = append(e.others, server)
+		*socket.into = listener
+		opened = append(opened, listener)
 	}
-	return nil
+	return s, nil
+}
+
+// serveAll begins to serve on all sockets.
+func (e *edge) serveAll(s *edgeSockets) {
+	o := e.options
+	e.callers = edgeServer(entry.NewHandler(entry.Parts{
+		Source:   e.control,
+		Codec:    platform.Headers{},
+		Sender:   e.link,
+		Dispatch: e.dispatch,
+		Timer:    e.timer,
+		Logger:   e.logger,
+		Metrics:  e.registry,
+	}))
+	e.serve(s.callers, e.callers)
+	e.serveOther(s.ready, &entry.Readiness{Source: e.control})
+	e.serveOther(s.lookUps, &entry.Directory{Source: e.control, KeepFor: min(o.KeepFor, o.KeepForMax)})
+	e.serveOther(s.peers, wire.NewFleetServer(e.control))
+	if s.metrics != nil {
+		e.serveOther(s.metrics, http.HandlerFunc(e.writeMetrics))
+	}
+}
+
+func (e *edge) serveOther(l net.Listener, h http.Handler) {
+	server := edgeServer(h)
+	e.others = append(e.others, server)
+	e.serve(l, server)
 }
 
 func edgeServer(h http.Handler) *http.Server {
@@ -205,17 +238,12 @@
 	}
 }
 
-func (e *edge) serve(setting, address string, s *http.Server) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrap(err, "--"+setting)
-	}
+func (e *edge) serve(l net.Listener, s *http.Server) {
 	go func() {
-		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			e.logger.WithError(err).WithField("setting", setting).Error("a listener failed")
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			e.logger.WithError(err).WithField("address", l.Addr().String()).Error("a listener failed")
 		}
 	}()
-	return nil
 }
 
 func (e *edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -15,6 +15,9 @@
 // ExitUsage is the exit status of a program whose settings are wrong.
 const ExitUsage = 2
 
+// timestampFormat orders the lines of one second.
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Checker is a set of settings that checks its values.
 type Checker interface {
 	Check() error
@@ -91,7 +94,7 @@
 	logger := logrus.New()
 	logger.SetLevel(parsed)
 	if format == "json" {
-		logger.SetFormatter(&logrus.JSONFormatter{})
+		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timestampFormat})
 	}
 	return logger, nil
 }
--- /dev/null
+++ b/soak/check.go
@@ -0,0 +1,223 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Bounds that are checked, with room for a busy machine.
+const (
+	// quietBefore is how long before an event no fault may have been under way for a bound
+	// in time to hold; a pause of the whole machine would break any bound.
+	quietBefore = 5 * time.Second
+	// leaveBound is the time after which a server or failure domain that leaves gets nothing.
+	leaveBound = 4 * time.Second
+	// applyBound is the time after which an instance applies a configuration.
+	applyBound = 5 * time.Second
+	// maxViolations bounds what is reported.
+	maxViolations = 50
+)
+
+// outcome is how a caller's request ended.
+type outcome struct {
+	ID       string
+	Instance string
+	// Status is 0 if no answer came.
+	Status int
+	// Whole says that the answer came to its end, and Own that it is the request's.
+	Whole bool
+	Own   bool
+	// Sent says that the whole request was written to an established connection.
+	Sent bool
+	At   time.Time
+	// Began is when the request was sent.
+	Began time.Time
+}
+
+// notRunStatuses promise that the request has not run and never will.
+func notRunStatus(status int) bool {
+	return status == 503 || status == 429 || status == 408 || status == 421
+}
+
+// checker holds what callers and servers saw against the promises.
+type checker struct {
+	mu         sync.Mutex
+	unsafe     map[string]bool
+	ran        map[string]int
+	refused    map[string]bool
+	leftAt     map[string]time.Time
+	domainOf   map[string]string
+	drainedAt  map[string]time.Time
+	disturbed  []span
+	planned    []span
+	served     map[string]uint64
+	violations []string
+	counts     map[string]int
+}
+
+// span is a time in which something is under way; an open one has no end yet.
+type span struct {
+	from, to time.Time
+}
+
+func newChecker() *checker {
+	return &checker{
+		unsafe:    make(map[string]bool),
+		ran:       make(map[string]int),
+		refused:   make(map[string]bool),
+		leftAt:    make(map[string]time.Time),
+		domainOf:  make(map[string]string),
+		drainedAt: make(map[string]time.Time),
+		served:    make(map[string]uint64),
+		counts:    make(map[string]int),
+	}
+}
+
+// violate notes a broken promise; the caller holds the lock.
+func (c *checker) violate(format string, values ...any) {
+	c.counts["violations"]++
+	if len(c.violations) < maxViolations {
+		c.violations = append(c.violations, fmt.Sprintf(format, values...))
+	}
+}
+
+// Disturb notes a fault for the time it lasts.
+func (c *checker) Disturb(from, to time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.disturbed = append(c.disturbed, span{from, to})
+}
+
+// quiet says whether no fault was under way in a time; the caller holds the lock.
+func (c *checker) quiet(from, to time.Time) bool {
+	for _, d := range c.disturbed {
+		if d.from.Before(to) && d.to.After(from) {
+			return false
+		}
+	}
+	return true
+}
+
+// Send notes a request before it is sent.
+func (c *checker) Send(id string, unsafe bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unsafe[id] = unsafe
+	c.counts["sent"]++
+}
+
+// Arrived checks that a server that left, or whose failure domain is drained, gets nothing.
+func (c *checker) Arrived(server, id string) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.unsafe[id]; !known {
+		c.violate("server %s got %s, which nobody sent", server, id)
+	}
+	if !c.quiet(now.Add(-quietBefore-leaveBound), now) {
+		return
+	}
+	if left, found := c.leftAt[server]; found && now.Sub(left) > leaveBound {
+		c.violate("server %s got %s %s after it left", server, id, now.Sub(left))
+	}
+	if drained, found := c.drainedAt[c.domainOf[server]]; found && now.Sub(drained) > leaveBound {
+		c.violate("server %s got %s %s after its failure domain was drained", server, id, now.Sub(drained))
+	}
+}
+
+// Ran checks that a request that was refused never runs, and a charge not twice.
+func (c *checker) Ran(server, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ran[id]++
+	c.counts["ran"]++
+	if c.refused[id] {
+		c.violate("%s ran at %s after it had been refused as not run", id, server)
+	}
+	if c.unsafe[id] && c.ran[id] > 1 {
+		c.violate("%s, which must not run twice, ran again at %s", id, server)
+	}
+}
+
+// Ended checks what the caller got.
+func (c *checker) Ended(o outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case o.Status == 0:
+		c.counts["no answer"]++
+	default:
+		c.counts[fmt.Sprint(o.Status)]++
+	}
+	if o.Status >= 200 && o.Status < 300 && (!o.Whole || !o.Own) {
+		c.violate("%s got a success that is not its own whole answer from %s", o.ID, o.Instance)
+	}
+	if notRunStatus(o.Status) {
+		c.refused[o.ID] = true
+		if c.ran[o.ID] > 0 {
+			c.violate("%s was refused as not run by %s, but has run", o.ID, o.Instance)
+		}
+	}
+	if o.Status == 0 && o.Sent && c.ran[o.ID] > 0 && c.quiet(o.Began.Add(-quietBefore), o.At) {
+		c.violate("%s was cut at %s with no fault under way", o.ID, o.Instance)
+	}
+}
+
+// Left notes that a server said, by its entry, that it leaves.
+func (c *checker) Left(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leftAt[server] = time.Now()
+}
+
+// Place notes the failure domain of a server.
+func (c *checker) Place(server, domain string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.domainOf[server] = domain
+}
+
+// Drained notes that a failure domain is drained, or taken back.
+func (c *checker) Drained(domain string, drained bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if drained {
+		c.drainedAt[domain] = time.Now()
+		return
+	}
+	delete(c.drainedAt, domain)
+}
+
+// Probed takes in what one life of an instance answered on the route that only one version
+// of the configuration has; accepted is when that version was.
+func (c *checker) Probed(life string, version uint64, status int, accepted time.Time) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if status == 200 {
+		if version < c.served[life] {
+			c.violate("%s went back from version %d to %d", life, c.served[life], version)
+		}
+		c.served[life] = max(c.served[life], version)
+	}
+	if status == 404 && now.Sub(accepted) > applyBound && c.quiet(accepted.Add(-quietBefore), now) {
+		c.violate("%s does not apply version %d %s after it was accepted", life, version, now.Sub(accepted))
+	}
+}
+
+// Recovered checks that requests are served again once all faults are over.
+func (c *checker) Recovered(served, sent int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if sent == 0 || float64(served) < 0.9*float64(sent) {
+		c.violate("after the faults only %d of %d requests were served", served, sent)
+	}
+}
+
+// Result returns the violations and the counts.
+func (c *checker) Result() ([]string, map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.violations...), c.counts
+}
--- /dev/null
+++ b/soak/check_test.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Each promise is tripped by what a broken system would show.
+func TestCheckerTrips(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		want string
+		play func(c *checker)
+	}{
+		{"a request that nobody sent", ".*nobody sent", func(c *checker) { c.Arrived("s", "x") }},
+		{"a charge twice", ".*ran again.*", func(c *checker) {
+			c.Send("x", true)
+			c.Ran("s", "x")
+			c.Ran("s", "x")
+		}},
+		{"run after a refusal", ".*after it had been refused.*", func(c *checker) {
+			c.Send("x", false)
+			c.Ended(outcome{ID: "x", Status: 503})
+			c.Ran("s", "x")
+		}},
+		{"refused after a run", ".*but has run", func(c *checker) {
+			c.Send("x", false)
+			c.Ran("s", "x")
+			c.Ended(outcome{ID: "x", Status: 429})
+		}},
+		{"a foreign answer", ".*not its own whole answer.*", func(c *checker) {
+			c.Ended(outcome{ID: "x", Status: 200, Whole: true})
+		}},
+		{"a torn answer", ".*not its own whole answer.*", func(c *checker) {
+			c.Ended(outcome{ID: "x", Status: 200, Own: true})
+		}},
+		{"cut in quiet", ".*was cut.*", func(c *checker) {
+			c.Ran("s", "x")
+			c.Ended(outcome{ID: "x", Sent: true, Began: time.Now(), At: time.Now()})
+		}},
+		{"work for a server that left", ".*after it left", func(c *checker) {
+			c.Send("x", false)
+			c.leftAt["s"] = time.Now().Add(-time.Minute)
+			c.Arrived("s", "x")
+		}},
+		{"work for a drained failure domain", ".*was drained", func(c *checker) {
+			c.Send("x", false)
+			c.Place("s", "d")
+			c.drainedAt["d"] = time.Now().Add(-time.Minute)
+			c.Arrived("s", "x")
+		}},
+		{"a configuration that goes back", ".*went back.*", func(c *checker) {
+			c.Probed("entry/1", 5, 200, time.Now())
+			c.Probed("entry/1", 4, 200, time.Now())
+		}},
+		{"a configuration that is not applied", ".*does not apply.*", func(c *checker) {
+			c.Probed("entry/1", 5, 404, time.Now().Add(-time.Minute))
+		}},
+		{"no recovery", ".*only 1 of 10.*", func(c *checker) { c.Recovered(1, 10) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			checks := newChecker()
+			test.play(checks)
+			violations, _ := checks.Result()
+			c.Assert(violations, qt.HasLen, 1)
+			c.Assert(violations[0], qt.Matches, test.want)
+		})
+	}
+}
+
+// Bounds in time are not held against the system while a fault is under way.
+func TestCheckerExcusesFaults(t *testing.T) {
+	c := qt.New(t)
+	checks := newChecker()
+	now := time.Now()
+	checks.Disturb(now.Add(-time.Second), now.Add(time.Second))
+	checks.Send("x", false)
+	checks.leftAt["s"] = now.Add(-time.Minute)
+	checks.Arrived("s", "x")
+	checks.Ran("s", "x")
+	checks.Ended(outcome{ID: "x", Sent: true, Began: now, At: now})
+	checks.Probed("entry/1", 5, 404, now.Add(-time.Minute))
+	violations, _ := checks.Result()
+	c.Assert(violations, qt.HasLen, 0)
+}
+
+func TestPlanIsMadeAgainFromItsSeed(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(makePlan(7, time.Minute), qt.DeepEquals, makePlan(7, time.Minute))
+	c.Assert(makePlan(7, time.Minute), qt.Not(qt.DeepEquals), makePlan(8, time.Minute))
+	kinds := make(map[kind]bool)
+	for seed := range uint64(40) {
+		for _, f := range makePlan(seed, time.Minute) {
+			kinds[f.Kind] = true
+		}
+	}
+	c.Assert(kinds, qt.HasLen, len(faultKinds)+len(plannedKinds))
+}
