--- a/peer/client.go
+++ b/peer/client.go
@@ -15,7 +15,7 @@
 const (
 	callTimeout = time.Second
 	// keepAlive finds, while a call waits, a peer that has gone silent.
-	keepAlive = time.Second
+	keepAlive   = time.Second
 	dialTimeout = 500 * time.Millisecond
 	idleTimeout = 10 * time.Second
 )
--- a/soak/main.go
+++ b/soak/main.go
@@ -77,7 +77,7 @@
 
 // run plays all seeds and returns how many failed.
 func run(o options) (int, error) {
-	logrus.SetLevel(logrus.ErrorLevel)
+	logrus.SetLevel(logrus.PanicLevel)
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return 0, err
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// shortSeed is the run that is played with each test run.
+const shortSeed = 1
+
+// seedsOf reads the seeds that once failed, one a line with a word on the cause.
+func seedsOf(c *qt.C, path string) []uint64 {
+	text, err := os.ReadFile(path)
+	c.Assert(err, qt.IsNil)
+	var seeds []uint64
+	for _, line := range strings.Split(string(text), "\n") {
+		number, _, _ := strings.Cut(line, " ")
+		if number == "" || number == "#" {
+			continue
+		}
+		seed, err := strconv.ParseUint(number, 10, 64)
+		c.Assert(err, qt.IsNil)
+		seeds = append(seeds, seed)
+	}
+	return seeds
+}
+
+// A short run over real processes, and those that once failed.
+func TestSeedsKeepThePromises(t *testing.T) {
+	c := qt.New(t)
+	program, err := build(c.TempDir())
+	c.Assert(err, qt.IsNil)
+	o := options{Span: 5 * time.Second, Instances: 4, Servers: 6, Callers: 8, Out: c.TempDir()}
+	for _, seed := range append(seedsOf(c, "seeds.txt"), shortSeed) {
+		r, err := playSeed(o, program, seed)
+		c.Assert(err, qt.IsNil)
+		c.Assert(r.broken, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+		c.Assert(r.problems, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+		c.Assert(r.counts["200"] > 100, qt.IsTrue)
+	}
+}
