--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -203,7 +203,7 @@
 	if at.After(end) {
 		return
 	}
-	m.at(at, func(now time.Time) {
+	m.at(at, func(time.Time) {
 		m.handle(index, region, choose)
 		m.arrive(index, region, end, choose)
 	})
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -66,7 +66,6 @@
 type yard struct {
 	c      *qt.C
 	view   *catalog.View
-	route  *lovageyard.Route
 	sender *sender
 	log    *strings.Builder
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -50,7 +50,6 @@
 	domainOf   map[string]string
 	drainedAt  map[string]time.Time
 	disturbed  []span
-	planned    []span
 	served     map[string]uint64
 	violations []string
 	counts     map[string]int
