A second send that fails leaves the first in doubt

Change: a fresh connection is tried only if the server closed the kept one, and its failure leaves the verdict at may-have-run. Test: fails before (not-run), passes after.

--- a/link/link.go
+++ b/link/link.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -93,11 +94,16 @@
 		return l.sendFresh(ctx, r)
 	}
 	answer, err := l.exchange(ctx, c, r)
-	if err != nil && errors.Is(err, errNoAnswer) && r.Idempotent && ctx.Err() == nil {
-		// The server closed the idle connection as the request was on its way.
-		return l.sendFresh(ctx, r)
+	if !errors.Is(err, errClosed) || !r.Idempotent || ctx.Err() != nil {
+		return answer, err
 	}
-	return answer, err
+	// The server closed the idle connection as the request was on its way.
+	answer, err = l.sendFresh(ctx, r)
+	if err != nil {
+		// Whatever became of the second send, the first may have run.
+		return nil, lovageyard.MayHaveRun("the backend server closed the connection and did not answer again", err)
+	}
+	return answer, nil
 }
 
 func (l *Link) sendFresh(ctx context.Context, r Request) (*Answer, error) {
@@ -117,8 +123,8 @@
 	return answer, err
 }
 
-// errNoAnswer reports a connection that ended before the first byte of an answer.
-var errNoAnswer = errors.New("the connection ended before an answer")
+// errClosed reports a connection that the server closed before the first byte of an answer.
+var errClosed = errors.New("the connection was closed before an answer")
 
 // exchange sends the request on a connection and reads the whole answer.
 func (l *Link) exchange(ctx context.Context, c *conn, r Request) (*Answer, error) {
@@ -156,7 +162,10 @@
 		return nil, false, errors.Wrap(err, "send")
 	}
 	if _, err := c.reader.Peek(1); err != nil {
-		return nil, false, errors.Wrap(errNoAnswer, err.Error())
+		if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+			return nil, false, errors.Wrap(errClosed, err.Error())
+		}
+		return nil, false, errors.Wrap(err, "answer")
 	}
 	for range maxStray {
 		response, err := http.ReadResponse(c.reader, request)
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -183,6 +183,19 @@
 	}
 }
 
+// The request that was on its way as the server closed may have run, also if the server
+// can't be reached any more.
+func TestSecondSendThatFailsLeavesTheFirstInDoubt(t *testing.T) {
+	c := qt.New(t)
+	b := newBackendServer(c, answer("1", "one"), "")
+	l := newLink(c)
+	_, err := send(c, l, request(b, "1", true))
+	c.Assert(err, qt.IsNil)
+	b.listener.Close()
+	_, err = send(c, l, request(b, "2", true))
+	c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictMayHaveRun)
+}
+
 func TestAnswersToOtherRequestsAreSkipped(t *testing.T) {
 	c := qt.New(t)
 	b := newBackendServer(c, answer("0", "stray")+answer("1", "one"))
--- a/soak/process.go
+++ b/soak/process.go
@@ -65,6 +65,8 @@
 	command := exec.Command(i.program, arguments...)
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	command.Stderr = log
+	// An instance does not outlive the soak, however that ends.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := command.StdoutPipe()
 	if err != nil {
 		return err
