Long requests are written while their answer is read; answers are bounded

Cause: a server may answer or refuse a long request before it has read it; the answer was read only after the last byte was written, and the whole answer was held whatever its size. Test: hangs before, passes after.

--- a/link/conn.go
+++ b/link/conn.go
@@ -28,18 +28,17 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
-	// written counts the bytes that were handed to the kernel.
-	written atomic.Int64
+	// writes counts the writes that were begun, whatever became of them.
+	writes atomic.Int64
 	// idleSince is when the last answer ended, and idleFor how long it may be reused after.
 	idleSince time.Time
 	idleFor   time.Duration
 }
 
-// Write counts the bytes that leave.
+// Write counts the write before any byte can leave.
 func (c *conn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.written.Add(int64(n))
-	return n, err
+	c.writes.Add(1)
+	return c.Conn.Write(b)
 }
 
 // dial opens a connection that notices within userTimeout that the other side is silent.
--- a/link/link.go
+++ b/link/link.go
@@ -37,8 +37,10 @@
 	unsafeIdle = 4 * time.Second
 	// maxStray is how many answers that belong to other requests are skipped.
 	maxStray = 3
-	// maxWhole is the size up to which an answer is read whole before it is passed on.
-	maxWhole = 1 << 20
+	// maxWhole bounds an answer, which is read whole before it is passed on.
+	maxWhole = 32 << 20
+	// maxGrow bounds the memory that is set aside on a server's word.
+	maxGrow = 1 << 20
 )
 
 // Codec translates the headers of the wire.
@@ -128,7 +130,7 @@
 
 // exchange sends the request on a connection and reads the whole answer.
 func (l *Link) exchange(ctx context.Context, c *conn, r Request) (*Answer, error) {
-	before := c.written.Load()
+	before := c.writes.Load()
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
 	answer, reusable, err := l.converse(c, r)
 	// Once the function has begun, the deadline may be set at any moment from now on.
@@ -141,11 +143,12 @@
 		}
 		return answer, nil
 	}
+	// Once it is closed, a write that has not begun sends nothing.
 	c.Close()
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
-	if c.written.Load() == before {
+	if c.writes.Load() == before {
 		return nil, lovageyard.NotRun("no byte of the request was sent", err)
 	}
 	return nil, lovageyard.MayHaveRun("the backend server did not answer", err)
@@ -155,12 +158,42 @@
 // says whether the connection may carry another request.
 func (l *Link) converse(c *conn, r Request) (*Answer, bool, error) {
 	request := outgoing(r)
-	if err := request.Write(c.writer); err != nil {
-		return nil, false, errors.Wrap(err, "send")
+	written := startWriting(c, request, len(r.Body))
+	answer, reusable, err := l.readAnswer(c, request, r.ID)
+	select {
+	case failure := <-written:
+		if failure != nil && err != nil {
+			err = errors.Wrap(failure, "send")
+		}
+		return answer, reusable && failure == nil, err
+	default:
+		// The server answered before it had read the request; what is left of that must
+		// not stand where the next request would begin.
+		return answer, false, err
 	}
-	if err := c.writer.Flush(); err != nil {
-		return nil, false, errors.Wrap(err, "send")
+}
+
+// startWriting writes a request and tells how that ended. A long one is written while its
+// answer is read, as a server may answer, or refuse it, before it is in.
+func startWriting(c *conn, request *http.Request, size int) <-chan error {
+	written := make(chan error, 1)
+	write := func() {
+		err := request.Write(c.writer)
+		if err == nil {
+			err = c.writer.Flush()
+		}
+		written <- err
 	}
+	if size <= writeBufferBytes {
+		write()
+	} else {
+		go write()
+	}
+	return written
+}
+
+// readAnswer reads answers until the one that belongs to the request.
+func (l *Link) readAnswer(c *conn, request *http.Request, id string) (*Answer, bool, error) {
 	if _, err := c.reader.Peek(1); err != nil {
 		if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
 			return nil, false, errors.Wrap(errClosed, err.Error())
@@ -179,7 +212,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if answer.Meta.ID != "" && answer.Meta.ID != r.ID {
+		if answer.Meta.ID != "" && answer.Meta.ID != id {
 			continue
 		}
 		framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
@@ -192,11 +225,13 @@
 func (l *Link) whole(response *http.Response) (*Answer, error) {
 	defer response.Body.Close()
 	var body bytes.Buffer
-	if n := response.ContentLength; n > 0 && n <= maxWhole {
+	if n := response.ContentLength; n > 0 && n <= maxGrow {
 		body.Grow(int(n))
 	}
-	if _, err := io.Copy(&body, response.Body); err != nil {
+	if n, err := io.Copy(&body, io.LimitReader(response.Body, maxWhole)); err != nil {
 		return nil, errors.Wrap(err, "the answer broke off")
+	} else if n == maxWhole {
+		return nil, errors.New("the answer is too long to be held")
 	}
 	return &Answer{
 		Status: response.StatusCode,
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -212,6 +212,36 @@
 	c.Assert(got.Status, qt.Equals, http.StatusOK)
 }
 
+// A server may refuse a long request before it has read it; its answer counts, and the
+// connection carries nothing else.
+func TestAnswerBeforeALongRequestIsIn(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	done := make(chan struct{})
+	release := make(chan struct{})
+	go func() {
+		defer close(done)
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, answer("1", "early"))
+		<-release
+	}()
+	c.Cleanup(func() {
+		close(release)
+		listener.Close()
+		<-done
+	})
+	r := request(&backendServer{listener: listener}, "1", false)
+	r.Method, r.Body = http.MethodPost, make([]byte, 8<<20)
+	got, err := send(c, newLink(c), r)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got.Body), qt.Equals, "early")
+}
+
 func TestConnectionWithStrayBytesIsNotReused(t *testing.T) {
 	c := qt.New(t)
 	b := newBackendServer(c, answer("1", "one")+"stray", answer("2", "two"))
