--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/instance"
 )
 
 // Weights and limits of the choice.
@@ -114,7 +115,7 @@
 	first := make(map[string]*server)
 	for _, one := range eligible {
 		best := first[one.Region]
-		if best == nil || mix(object^one.hash) > mix(object^best.hash) {
+		if best == nil || instance.Mix(object^one.hash) > instance.Mix(object^best.hash) {
 			first[one.Region] = one
 		}
 	}
@@ -212,7 +213,7 @@
 	s.spill.wish(remote != nil && (local == nil || remote.cost < local.cost), r.Now)
 	position := t.random.Float64()
 	if object != 0 {
-		position = float64(mix(object)>>11) / (1 << 53)
+		position = float64(instance.Mix(object)>>11) / (1 << 53)
 	}
 	if s.spill.leaves(position) && remote != nil {
 		return remote
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -10,6 +10,7 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
+	"lovageyard.example/lovageyard/instance"
 )
 
 // Settings are the fixed inputs of a Table.
@@ -301,14 +302,5 @@
 	if key == "" {
 		return 0
 	}
-	return mix(xxhash.Sum64String(route.Name) ^ xxhash.Sum64String(key))
-}
-
-// mix spreads the bits of a hash, so that scores of one object are independent of each other.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+	return instance.Mix(xxhash.Sum64String(route.Name) ^ xxhash.Sum64String(key))
 }
--- a/instance/rank.go
+++ b/instance/rank.go
@@ -116,7 +116,7 @@
 		chosen := -1
 		score := uint64(0)
 		for _, p := range positions {
-			if s := mix(block ^ d.hashes[p]); (chosen < 0 || s > score) && !r.holds(p) {
+			if s := Mix(block ^ d.hashes[p]); (chosen < 0 || s > score) && !r.holds(p) {
 				chosen = p
 				score = s
 			}
@@ -138,8 +138,8 @@
 	return false
 }
 
-// mix spreads the bits of a hash, so that scores of one block are independent of each other.
-func mix(x uint64) uint64 {
+// Mix spreads the bits of a hash, so that scores of one block are independent of each other.
+func Mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
@@ -162,7 +162,7 @@
 // Choose returns the names that score highest for a key by rendezvous hash, best first.
 func Choose(names []string, key string, count int) []string {
 	salt := xxhash.Sum64String(key)
-	score := func(name string) uint64 { return mix(salt ^ xxhash.Sum64String(name)) }
+	score := func(name string) uint64 { return Mix(salt ^ xxhash.Sum64String(name)) }
 	chosen := slices.Clone(names)
 	slices.SortFunc(chosen, func(a, b string) int {
 		return cmp.Or(cmp.Compare(score(b), score(a)), strings.Compare(a, b))
--- /dev/null
+++ b/lovageyardd/edge_test.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard/settings"
+)
+
+// values are what the platform fills the template of the settings with.
+var values = map[string]string{
+	"Node": "front-1", "Zone": "north-1", "Region": "north", "Ip": "10.0.0.1", "InternalPorts.0": "7200",
+	"Listen.Front": "10.0.0.1:1", "Listen.Ready": "10.0.0.1:2", "Listen.Directory": "10.0.0.1:3", "Listen.Control": "10.0.0.1:4",
+	"Platform.Addr": "10.9.0.1:5", "Seeds": "10.0.0.1:4,10.0.0.2:4", "Limits.RamMb": "284",
+	"Bounds.ttl_max_s": "5", "Bounds.GraceS": "6", "Bounds.RetryRatio": "0.2", "Bounds.RetryWindowS": "10",
+	"Bounds.RetrySlack": "64", "Bounds.ColdExcess": "1.5", "Bounds.ColdSlack": "5",
+}
+
+// render fills the template in as the platform does.
+func render(c *qt.C) string {
+	text, err := os.ReadFile(filepath.Join("..", "deploy", "settings.json"))
+	c.Assert(err, qt.IsNil)
+	section := regexp.MustCompile(`\{\{#Zones\}\}.*\{\{/Zones\}\}`)
+	filled := section.ReplaceAllString(string(text), "north-1=north,south-1=south")
+	for name, value := range values {
+		filled = strings.ReplaceAll(filled, "{{"+name+"}}", value)
+	}
+	c.Assert(filled, qt.Not(qt.Contains), "{{")
+	return filled
+}
+
+func readEdge(c *qt.C, text string) (edgeOptions, error) {
+	path := filepath.Join(c.TempDir(), "settings.json")
+	c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	file, err := settings.File(path)
+	c.Assert(err, qt.IsNil)
+	var parsed commands
+	_, err = settings.Read([]string{"edge"}, programName, prefix, programAbout, &parsed, file)
+	return parsed.Edge, err
+}
+
+func TestDeployedSettingsAreValid(t *testing.T) {
+	c := qt.New(t)
+	o, err := readEdge(c, render(c))
+	c.Assert(err, qt.IsNil)
+	c.Assert(o.Instance, qt.Equals, "front-1")
+	c.Assert(o.MetricsAddress, qt.Equals, "10.0.0.1:7200")
+	c.Assert(o.LeaveWithin, qt.Equals, 6*time.Second)
+	c.Assert(o.PeerAddresses, qt.HasLen, 2)
+	c.Assert(o.demand(), qt.Equals, 0.5)
+	retries, cold := o.bounds()
+	c.Assert(retries.Slack, qt.Equals, 64.0)
+	c.Assert(cold.Excess, qt.Equals, 1.5)
+}
+
+func TestWrongSettingsNameTheField(t *testing.T) {
+	for name, value := range map[string]string{
+		"instance": "", "caller-address": "nowhere", "peer-addresses": "10.0.0.1", "keep-for-max": "0s",
+		"leave-within": "soon", "retry-ratio": "-1", "retry-window": "10ms", "cold-slack": "-1", "memory-mb": "-1",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			line := regexp.MustCompile(`"` + name + `": "[^"]*"`)
+			_, err := readEdge(c, line.ReplaceAllString(render(c), `"`+name+`": "`+value+`"`))
+			c.Assert(err, qt.ErrorMatches, ".*--"+name+".*")
+		})
+	}
+}
+
+func TestSettingsFileIsNoticedWhenItChanges(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(c.TempDir(), "settings.json")
+	c.Assert(os.WriteFile(path, []byte("{}"), 0o600), qt.IsNil)
+	file := newSettingsFile(path)
+	c.Assert(file.changed(), qt.IsFalse)
+	c.Assert(os.WriteFile(path, []byte(`{"a":"b"}`), 0o600), qt.IsNil)
+	c.Assert(file.changed(), qt.IsTrue)
+	c.Assert(file.changed(), qt.IsFalse)
+	c.Assert(os.Remove(path), qt.IsNil)
+	c.Assert(file.changed(), qt.IsFalse)
+}
