One copy of the catalog for each change; lines name only who joined or left

By reading: each word of who is alive made a copy of all servers, sorted it and gave it to the dispatcher, 300 times at a start, and wrote a line with all names. Test: TestSnapshotIsKeptUntilSomethingChanges (an empty table must count as a change: a first version of this left instances unregistered and TestInstanceThatRestartsWithAnOlderClockIsHeard found it).

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -30,6 +30,8 @@
 	members map[string]lovageyard.EntryInstance
 	// undrained is when a failure domain was taken back after a drain.
 	undrained map[string]time.Time
+	// latest is the last snapshot, until something changes.
+	latest *Snapshot
 	// outage says that the servers' table could not be read since its last change was heard.
 	outage bool
 }
@@ -94,6 +96,7 @@
 	}
 	s.cursors[table] = list.To
 	s.floors[table] = list.To
+	s.latest = nil
 	return faults
 }
 
@@ -145,6 +148,7 @@
 }
 
 func (s *State) apply(r lovageyard.Record, now time.Time) {
+	s.latest = nil
 	switch {
 	case r.Configuration != nil:
 		if s.config == nil || r.Configuration.Version > s.config.Version {
@@ -219,6 +223,7 @@
 	for name, known := range s.servers {
 		if !known.lapsesAt.IsZero() && !now.Before(known.lapsesAt) {
 			delete(s.servers, name)
+			s.latest = nil
 			changed = true
 		}
 	}
@@ -253,8 +258,16 @@
 	return slices.Collect(maps.Values(s.members))
 }
 
-// Snapshot returns what is known, for readers that do not change it.
+// Snapshot returns what is known, for readers that do not change it; it is the same one
+// until a row changes, as a copy of all servers is dear in a large fleet.
 func (s *State) Snapshot() *Snapshot {
+	if s.latest == nil {
+		s.latest = s.snapshot()
+	}
+	return s.latest
+}
+
+func (s *State) snapshot() *Snapshot {
 	view := &Snapshot{
 		Configuration: s.config,
 		Drained:       maps.Clone(s.drains),
--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -238,3 +238,20 @@
 	c.Assert(view.Match("a.example", "/x"), qt.IsNil)
 	c.Assert(view.Match("b.example", "/x/"), qt.IsNil)
 }
+
+// A copy of all servers is dear in a large fleet: there is one for each change.
+func TestSnapshotIsKeptUntilSomethingChanges(t *testing.T) {
+	c := qt.New(t)
+	s := known(c, start)
+	first := s.Snapshot()
+	c.Assert(s.Snapshot() == first, qt.IsTrue)
+	s.ApplyChanges(lovageyard.TableServers, changes(10, 11, removed(lovageyard.TableServers, "a", 11)), start)
+	c.Assert(s.Snapshot() == first, qt.IsFalse)
+	c.Assert(names(s), qt.DeepEquals, []string{"b"})
+
+	// A whole table without rows changes what is known of the table itself.
+	empty := catalog.NewState(jsonDecoder{})
+	c.Assert(empty.Snapshot().Cursors[lovageyard.TableInstances], qt.Equals, int64(0))
+	empty.ApplyList(lovageyard.TableInstances, changes(0, 5), start)
+	c.Assert(empty.Snapshot().Cursors[lovageyard.TableInstances], qt.Equals, int64(5))
+}
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -180,7 +180,6 @@
 func (c *Control) tick(now time.Time) {
 	c.beat(now)
 	if c.members.Tick(now) {
-		c.logMembers()
 		c.dirty = true
 	}
 	if c.state.Expire(now) {
@@ -209,11 +208,14 @@
 		Leaving:  c.leaving,
 		Closing:  c.closing,
 	}
-	if before := c.view.Swap(view); before != nil {
+	before := c.view.Swap(view)
+	if before != nil {
 		c.logChange(before, view)
 	}
 	c.settings.Follower.SetInstances(c.sharers(view))
-	c.settings.Follower.SetCatalog(view.Snapshot)
+	if before == nil || before.Snapshot != view.Snapshot {
+		c.settings.Follower.SetCatalog(view.Snapshot)
+	}
 }
 
 // sharers returns the names of all instances that may be at work, those included that
@@ -241,17 +243,34 @@
 	if len(before.Drained) != len(after.Drained) {
 		c.settings.Logger.WithField("failure-domains", keys(after.Drained)).Info("drained failure domains changed")
 	}
+	if joined, left := difference(before.Live, after.Live); len(joined)+len(left) > 0 {
+		c.settings.Logger.WithFields(logrus.Fields{
+			"live":   len(after.Live),
+			"joined": joined,
+			"left":   left,
+		}).Info("live entry instances changed")
+	}
 	if before.Ready != after.Ready {
 		c.settings.Logger.WithField("ready", after.Ready).Info("readiness changed")
 	}
 }
 
-func (c *Control) logMembers() {
-	var names []string
-	for _, m := range c.members.Live() {
-		names = append(names, m.Name)
+// difference returns the names that only the second and only the first list has; both are
+// in the order of their names.
+func difference(before, after []lovageyard.EntryInstance) (joined, left []string) {
+	for len(before)+len(after) > 0 {
+		switch {
+		case len(before) == 0 || len(after) > 0 && after[0].Name < before[0].Name:
+			joined = append(joined, after[0].Name)
+			after = after[1:]
+		case len(after) == 0 || before[0].Name < after[0].Name:
+			left = append(left, before[0].Name)
+			before = before[1:]
+		default:
+			before, after = before[1:], after[1:]
+		}
 	}
-	c.settings.Logger.WithField("live", names).Info("live entry instances changed")
+	return joined, left
 }
 
 // Leave takes this instance out of look-ups and tells its peers; it goes on serving.
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -125,7 +125,6 @@
 		c.hearPulse(p, now)
 	}
 	if len(c.members.Live()) != live {
-		c.logMembers()
 		c.dirty = true
 	}
 }
