--- a/dispatch/choose_test.go
+++ b/dispatch/choose_test.go
@@ -55,7 +55,7 @@
 func (y *yard) choose(key string, tried ...string) dispatch.Choice {
 	return y.table.Choose(dispatch.Request{
 		Now: y.now, Route: y.route, Service: "desk", Key: key, Tried: tried,
-		Goal: y.now.Add(200 * time.Millisecond), Deadline: y.now.Add(time.Second),
+		Deadline: y.now.Add(time.Second),
 	})
 }
 
@@ -187,7 +187,7 @@
 func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
 	y := newYard(t)
 	choice := y.table.Choose(dispatch.Request{
-		Now: y.now, Route: y.route, Service: "desk", Key: "k", Goal: y.now, Deadline: y.now.Add(5 * time.Millisecond),
+		Now: y.now, Route: y.route, Service: "desk", Key: "k", Deadline: y.now.Add(5 * time.Millisecond),
 	})
 	y.c.Assert(choice.Refused, qt.IsTrue)
 	y.c.Assert(choice.Reason, qt.Equals, "the deadline can't be met")
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -34,8 +34,7 @@
 	Service string
 	// Key is the object that the request concerns, or "".
 	Key string
-	// Goal and Deadline are when the answer should and must be there.
-	Goal     time.Time
+	// Deadline is when a server has to be done.
 	Deadline time.Time
 	// Tried names the servers that earlier attempts went to.
 	Tried []string
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -80,7 +80,6 @@
 		Route:    x.route,
 		Service:  x.service,
 		Key:      x.meta.Key,
-		Goal:     x.goal,
 		Deadline: x.deadline,
 		Tried:    x.tried,
 	})
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -33,7 +33,6 @@
 type Codec interface {
 	Request(h http.Header) lovageyard.RequestMeta
 	Outgoing(h http.Header, left time.Duration, server string)
-	Unvouch(h http.Header)
 	Echo(h http.Header, id string)
 }
 
@@ -95,7 +94,6 @@
 	// deadline is when a server has to be done, and end when its answer is given up here.
 	deadline time.Time
 	end      time.Time
-	goal     time.Time
 	tried    []string
 	// ran says that an attempt may have run the request.
 	ran bool
@@ -135,7 +133,6 @@
 	}
 	x.deadline = x.began.Add(limit)
 	x.end = x.began.Add(end)
-	x.goal = x.began.Add(x.route.Goal)
 }
 
 // path returns the request's path as the client wrote it, without the query.
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -85,6 +85,7 @@
 			e.reload("signal")
 		case now := <-watch.C():
 			e.link.Expire(now)
+			e.measure(now)
 			if file.changed() {
 				e.reload("file changed")
 			}
@@ -246,6 +247,19 @@
 	}()
 }
 
+// measure updates the gauges.
+func (e *edge) measure(now time.Time) {
+	census := e.dispatch.Census(now)
+	for name, value := range map[string]int64{
+		"connections.opened": e.link.Opened(),
+		"servers.known":      int64(census.Servers),
+		"servers.suspect":    int64(census.Suspects),
+		"requests.in-flight": int64(census.InFlight),
+	} {
+		metrics.GetOrRegisterGauge(name, e.registry).Update(value)
+	}
+}
+
 func (e *edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	metrics.WriteOnce(e.registry, w)
