--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -112,14 +111,17 @@
 	if object == 0 {
 		return eligible
 	}
-	first := make(map[string]*server)
+	var homes []*server
 	for _, one := range eligible {
-		best := first[one.Region]
-		if best == nil || instance.Mix(object^one.hash) > instance.Mix(object^best.hash) {
-			first[one.Region] = one
+		i := slices.IndexFunc(homes, func(home *server) bool { return home.Region == one.Region })
+		switch {
+		case i < 0:
+			homes = append(homes, one)
+		case instance.Mix(object^one.hash) > instance.Mix(object^homes[i].hash):
+			homes[i] = one
 		}
 	}
-	return slices.Collect(maps.Values(first))
+	return homes
 }
 
 // isEligible says whether a server may get the request at all.
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -92,6 +92,7 @@
 	instances int
 	// slowServers of the first region run 8 times as long in the second half.
 	slowServers int
+	seed        uint64
 }
 
 // model plays a load against a way to choose servers.
@@ -110,7 +111,7 @@
 var regions = []string{"east", "west", "south"}
 
 func newModel(l load) *model {
-	m := &model{load: l, random: rand.New(rand.NewPCG(1, 2)), now: time.Unix(5000, 0), windows: make(map[string]map[int][2]int)}
+	m := &model{load: l, random: rand.New(rand.NewPCG(1, l.seed)), now: time.Unix(5000, 0), windows: make(map[string]map[int][2]int)}
 	for _, region := range regions {
 		m.windows[region] = make(map[int][2]int)
 		for i := range l.servers[region] {
@@ -350,14 +351,14 @@
 var statements = load{
 	servers: map[string]int{"east": 10, "west": 2, "south": 8}, slots: 9, keeps: 32, keys: 51,
 	perSecond: 71, cold: 1400 * time.Millisecond, goal: 900 * time.Millisecond, timeout: 2500 * time.Millisecond,
-	span: 40 * time.Second, instances: 4,
+	span: 40 * time.Second, instances: 4, seed: 2,
 }
 
 // desks is the users' small desks: three slots, all objects fit.
 var desks = load{
 	servers: map[string]int{"east": 2, "west": 4, "south": 6}, slots: 3, keeps: 48, keys: 46,
 	perSecond: 80, cold: 240 * time.Millisecond, goal: 200 * time.Millisecond, timeout: 1200 * time.Millisecond,
-	span: 40 * time.Second, instances: 3,
+	span: 40 * time.Second, instances: 3, seed: 2,
 }
 
 // widened returns a load of four times the slots and requests, whose windows of 2 s hold
@@ -408,8 +409,10 @@
 	c := qt.New(t)
 	const largestAllowed = 0.15
 	for _, l := range []load{widened(statements), widened(desks)} {
-		m := newModel(l)
-		m.play(byTable(m))
-		c.Assert(m.largestShift() <= largestAllowed, qt.IsTrue, qt.Commentf("%.3f", m.largestShift()))
+		for l.seed = range uint64(3) {
+			m := newModel(l)
+			m.play(byTable(m))
+			c.Check(m.largestShift() <= largestAllowed, qt.IsTrue, qt.Commentf("%.3f with seed %d", m.largestShift(), l.seed))
+		}
 	}
 }
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -161,9 +161,10 @@
 	for _, s := range t.services {
 		s.servers = s.servers[:0]
 	}
-	for _, s := range t.servers {
-		if owner := t.services[s.Service]; owner != nil {
-			owner.servers = append(owner.servers, s)
+	// In the order of the view, so that the same inputs give the same choices.
+	for _, listed := range view.Servers {
+		if owner := t.services[listed.Service]; owner != nil {
+			owner.servers = append(owner.servers, t.servers[listed.Name])
 		}
 	}
 }
