The wire's names leave the soak and the tests of the callers' side

Cause: callers of the soak and tests of entry named headers of the users' platform outside platform/.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -134,7 +134,7 @@
 
 func good(status int) step {
 	return step{answer: &link.Answer{
-		Status: status, Header: http.Header{"X-Server-Seal": {"s"}, "Connection": {"close"}}, Body: []byte("whole"),
+		Status: status, Header: http.Header{"Proof": {"s"}, "Connection": {"close"}}, Body: []byte("whole"),
 		Meta: lovageyard.AnswerMeta{ID: "id-1", Sealed: true},
 	}}
 }
@@ -199,13 +199,13 @@
 				y.c.Assert(response.Header.Get(lovageyard.VerdictHeader), qt.Equals, "not-run")
 			}
 			if test.status == http.StatusBadGateway {
-				y.c.Assert(response.Header.Get("X-Server-Seal"), qt.Equals, "")
+				y.c.Assert(response.Header.Get("Proof"), qt.Equals, "")
 			}
 			if test.status == http.StatusOK {
 				body, err := io.ReadAll(response.Body)
 				y.c.Assert(err, qt.IsNil)
 				y.c.Assert(string(body), qt.Equals, "whole")
-				y.c.Assert(response.Header.Get("X-Server-Seal"), qt.Equals, "s")
+				y.c.Assert(response.Header.Get("Proof"), qt.Equals, "s")
 				y.c.Assert(response.Header.Get("Connection"), qt.Equals, "")
 			}
 		})
@@ -319,6 +319,6 @@
 	response := y.ask(http.MethodGet, "/x/", "")
 	// Both servers have been tried, so that there is none for the third attempt.
 	y.c.Assert(response.StatusCode, qt.Equals, http.StatusInternalServerError)
-	y.c.Assert(response.Header.Get("X-Server-Seal"), qt.Equals, "s")
+	y.c.Assert(response.Header.Get("Proof"), qt.Equals, "s")
 	y.c.Assert(y.sender.sent, qt.HasLen, 2)
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -93,7 +93,7 @@
 	p := c.yard.instances[rand.IntN(len(c.yard.instances))].place()
 	ctx, cancel := context.WithTimeout(c.context, time.Second)
 	defer cancel()
-	target := fmt.Sprintf("http://%s/lookup?Name=%s&Region=%s&Zone=%s-1", p.lookUps, requestHost, region, region)
+	target := fake.LookUpURL(p.lookUps, requestHost, region, region+"-1")
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return nil
@@ -140,9 +140,7 @@
 		return o
 	}
 	request.Host = requestHost
-	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Affinity-Key", fmt.Sprint(rand.IntN(callerKeys)))
-	request.Header.Set("X-Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
+	fake.SetHeaders(request.Header, id, fmt.Sprint(rand.IntN(callerKeys)), timeout)
 	response, err := client.Do(request)
 	o.At = time.Now()
 	if err != nil {
@@ -154,7 +152,7 @@
 	got, err := io.ReadAll(response.Body)
 	o.Status = response.StatusCode
 	o.Whole = err == nil
-	o.Own = string(got) == fake.Body(id) && response.Header.Get("X-Server-Seal") != ""
+	o.Own = fake.IsOwn(response.Header, got, id)
 	return o
 }
 
