--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -172,13 +172,13 @@
 	// change ends all calls.
 	next := uint64(2)
 	change := func() int {
-		before := g.store.Calls("/rows-feed")
+		before := g.store.Watches()
 		g.store.PutConfiguration(lovageyard.Configuration{Version: next})
 		for _, control := range controls {
 			g.until("the change", func() bool { return version(control) == next })
 		}
 		next++
-		return g.store.Calls("/rows-feed") - before
+		return g.store.Watches() - before
 	}
 	g.until("few calls for a change", func() bool {
 		calls := change()
