One client for the platform, and a stand-in that speaks its protocol

Cause: two clients and two protocols stood side by side, one for the older stand-in and one for the users' store; every change of a port had to be made twice.

Entry instances register by a transaction. A history that is lost is read anew and told to peers as a whole, with what was removed in between.

Ruled out: objects as rows (64 KiB), the older polling call on the store (no such call).

--- a/configuration/state.go
+++ b/configuration/state.go
@@ -23,6 +23,8 @@
 // State is one instance's copy of the configuration. It never goes to a lower version.
 type State struct {
 	version int64
+	// floor is the version of the last whole reading: removals before it are not known.
+	floor   int64
 	rows    map[rowKey]lovageyard.Row
 	decoded map[rowKey]decodedRow
 }
@@ -52,7 +54,8 @@
 }
 
 // Apply takes in changes and says whether the state advanced. Changes that start
-// after the state's version would leave a gap; they are refused.
+// after the state's version would leave a gap; they are refused. Changes after version 0
+// are all rows; those that they lack are gone.
 func (s *State) Apply(c lovageyard.Changes) (bool, error) {
 	if c.After > s.version {
 		return false, errors.Errorf("changes after %d leave a gap behind version %d", c.After, s.version)
@@ -60,18 +63,37 @@
 	if c.To <= s.version {
 		return false, nil
 	}
+	present := make(map[rowKey]bool)
 	for _, row := range c.Rows {
 		k := rowKey{table: row.Table, key: row.Key}
+		present[k] = true
 		if row.Version > s.rows[k].Version {
 			s.rows[k] = row
 		}
 	}
+	if c.After == 0 {
+		s.removeAbsent(present, c.To)
+		s.floor = c.To
+	}
 	s.version = c.To
 	return true, nil
 }
 
-// Since returns the changes after a version, in the order of their versions.
+// removeAbsent marks the rows as deleted that a whole reading up to a version lacks.
+func (s *State) removeAbsent(present map[rowKey]bool, version int64) {
+	for k, row := range s.rows {
+		if !present[k] && !row.Deleted {
+			s.rows[k] = lovageyard.Row{Table: k.table, Key: k.key, Version: version, Deleted: true}
+		}
+	}
+}
+
+// Since returns the changes after a version, in the order of their versions, or all rows,
+// as changes after version 0, if removals since that version may not be known.
 func (s *State) Since(after int64) lovageyard.Changes {
+	if after < s.floor {
+		after = 0
+	}
 	c := lovageyard.Changes{After: after, To: s.version}
 	if after >= s.version {
 		c.After = s.version
--- a/configuration/state_test.go
+++ b/configuration/state_test.go
@@ -34,6 +34,7 @@
 		{"repeated", start, false, false, 5, 2},
 		{"older", lovageyard.Changes{After: 0, To: 4, Rows: []lovageyard.Row{classRow("z", 4, false)}}, false, false, 5, 2},
 		{"gap", lovageyard.Changes{After: 6, To: 9, Rows: []lovageyard.Row{classRow("z", 9, false)}}, false, true, 5, 2},
+		{"all rows anew", lovageyard.Changes{After: 0, To: 8, Rows: []lovageyard.Row{classRow("b", 5, false)}}, true, false, 8, 1},
 		{"an older row within newer changes", lovageyard.Changes{After: 1, To: 6, Rows: []lovageyard.Row{classRow("b", 2, true)}}, true, false, 6, 2},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -108,3 +109,18 @@
 	}
 	return value
 }
+
+// A removal that came before a whole reading is told to a peer that has missed it.
+func TestSinceTellsOfRemovalsBeforeAWholeReading(t *testing.T) {
+	c := qt.New(t)
+	peer := NewState()
+	_, err := peer.Apply(lovageyard.Changes{To: 5, Rows: []lovageyard.Row{classRow("a", 3, false), classRow("b", 5, false)}})
+	c.Assert(err, qt.IsNil)
+	fresh := NewState()
+	_, err = fresh.Apply(lovageyard.Changes{To: 9, Rows: []lovageyard.Row{classRow("b", 5, false)}})
+	c.Assert(err, qt.IsNil)
+	_, err = peer.Apply(fresh.Since(peer.Version()))
+	c.Assert(err, qt.IsNil)
+	c.Assert(peer.Classes(), qt.DeepEquals, []lovageyard.Class{{Name: "b"}})
+	c.Assert(peer.Version(), qt.Equals, int64(9))
+}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -110,11 +110,11 @@
 	return p.Store.Get(ctx, name)
 }
 
-func (p port) List(ctx context.Context) (lovageyard.Listing, error) {
+func (p port) Listing(ctx context.Context) (lovageyard.Listing, error) {
 	if err := p.fault(); err != nil {
 		return lovageyard.Listing{}, err
 	}
-	return p.Store.List(ctx)
+	return p.Store.Listing(ctx)
 }
 
 func (p port) reach(address string) (*Control, error) {
--- a/control/platform.go
+++ b/control/platform.go
@@ -83,7 +83,7 @@
 
 func (c *Control) list() {
 	c.call("list", func(ctx context.Context) message {
-		listing, err := c.settings.Instances.List(ctx)
+		listing, err := c.settings.Instances.Listing(ctx)
 		return listed{listing: listing, err: err}
 	})
 }
--- a/demo/start.go
+++ b/demo/start.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/block"
@@ -113,7 +114,7 @@
 	if err != nil {
 		return errors.Wrap(err, "blocks")
 	}
-	client := platform.NewClient(d.platform)
+	client := platform.NewStore(d.platform, logrus.StandardLogger())
 	defer client.Close()
 	if _, err := client.Put(ctx, lovageyard.Object{Name: block.ObjectName, Body: body}); err != nil {
 		return errors.Wrap(err, "blocks")
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -34,10 +34,9 @@
 	Share(ctx context.Context, address string, r *wire.ShareRequest) (*wire.ShareReply, error)
 }
 
-// Registrar writes the rows of entry instances.
+// Registrar writes the rows of entry instances; see lovageyard.Table.
 type Registrar interface {
-	Put(ctx context.Context, r lovageyard.Row) error
-	Remove(ctx context.Context, r lovageyard.Row) error
+	Transact(ctx context.Context, t lovageyard.Transaction) (int64, error)
 }
 
 // Follower is told of each new view.
@@ -322,7 +321,7 @@
 		c.settings.Logger.WithError(err).Error("this instance can't be registered")
 		return
 	}
-	row := lovageyard.Row{Table: lovageyard.TableInstances, Key: self.Name, Value: value}
+	write := lovageyard.Write{Table: lovageyard.TableInstances, Key: self.Name, Value: value}
 	for attempt := 0; c.context.Err() == nil; attempt++ {
 		view := c.View()
 		if view.Cursors[lovageyard.TableInstances] == 0 {
@@ -332,7 +331,8 @@
 		if view.Instances[self.Name] == self {
 			return
 		}
-		err := c.settings.Registrar.Put(c.context, row)
+		// A write of which the outcome is not known may be made again.
+		_, err := c.settings.Registrar.Transact(c.context, lovageyard.Transaction{Writes: []lovageyard.Write{write}})
 		if err == nil {
 			return
 		}
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -88,7 +88,7 @@
 // read makes one call: the whole table if nothing is known, else its changes.
 func (c *Control) read(table string, cursor int64, wait time.Duration) heard {
 	if cursor == 0 {
-		list, err := c.settings.Feed.List(c.context, table)
+		list, err := c.settings.Feed.Rows(c.context, table)
 		return heard{table: table, changes: list, whole: true, err: err}
 	}
 	changes, err := c.settings.Feed.Watch(c.context, table, cursor, wait)
@@ -190,7 +190,11 @@
 
 func (c *Control) removeRow(r lovageyard.Row) {
 	c.call("remove "+r.Key, func(ctx context.Context) message {
-		if err := c.settings.Registrar.Remove(ctx, r); err != nil && !isConflict(err) {
+		_, err := c.settings.Registrar.Transact(ctx, lovageyard.Transaction{
+			Conditions: []lovageyard.Condition{{Table: r.Table, Key: r.Key, Version: r.Version}},
+			Writes:     []lovageyard.Write{{Table: r.Table, Key: r.Key, Delete: true}},
+		})
+		if err != nil && !isConflict(err) {
 			c.settings.Logger.WithError(err).WithField("instance", r.Key).Warn("a silent instance's row is not removed yet")
 			return nil
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -91,7 +91,7 @@
 func (g *group) start(name string, life int64, address string, seeds ...string) *fleet.Control {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	client := platform.NewStore(address)
+	client := platform.NewStore(address, logger)
 	control := fleet.New(fleet.Settings{
 		Self: lovageyard.EntryInstance{
 			Name: name, Life: life, FailureDomain: "north-1", Region: "north",
--- a/lovageyardd/daemon.go
+++ b/lovageyardd/daemon.go
@@ -49,7 +49,7 @@
 	timer     lovageyard.Timer
 	control   *control.Control
 	backend   *backend.Client
-	platform  *platform.Client
+	platform  *platform.Store
 	peers     *peer.Client
 	charges   *charge.Book
 	callers   *http.Server
@@ -134,7 +134,7 @@
 		logger:   logger,
 		timer:    clock,
 		backend:  backend.NewClient(),
-		platform: platform.NewClient(o.PlatformAddress),
+		platform: platform.NewStore(o.PlatformAddress, logger),
 		peers:    peer.NewClient(),
 	}
 	registry := metrics.NewRegistry()
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -134,7 +134,7 @@
 
 func (e *edge) assemble(self lovageyard.EntryInstance) {
 	o := e.options
-	e.store = platform.NewStore(o.PlatformAddress)
+	e.store = platform.NewStore(o.PlatformAddress, e.logger)
 	e.peers = peer.NewClient()
 	e.link = link.New(platform.Headers{}, e.timer)
 	retries, cold := o.bounds()
--- a/ports.go
+++ b/ports.go
@@ -16,6 +16,10 @@
 	TableLeases  = "leases"
 	TableClaims  = "claims"
 	TableGrants  = "grants"
+	// TableBackends lists the backend servers that the platform knows of.
+	TableBackends = "backends"
+	// TableObjects names, for each object, the blob that holds its newest version.
+	TableObjects = "objects"
 )
 
 // Row is one row of the platform's table service.
@@ -74,8 +78,13 @@
 
 // Table is the platform's transactional table service.
 type Table interface {
+	// Read returns one row, or ErrNotFound.
 	Read(ctx context.Context, table, key string) (Row, error)
+	// Transact commits t and returns its version. The error is a *ConflictError if a condition
+	// did not hold, and wraps ErrUnknownOutcome if t may have been or may yet be committed.
 	Transact(ctx context.Context, t Transaction) (int64, error)
+	// Changes returns the changes of some tables after a version, or all their rows, as
+	// changes after version 0, if the platform no longer has these changes.
 	Changes(ctx context.Context, tables []string, after int64) (Changes, error)
 }
 
@@ -88,13 +97,15 @@
 
 // ObjectStore is the platform's object store.
 type ObjectStore interface {
+	// Get returns the newest version of an object, or ErrNotFound.
 	Get(ctx context.Context, name string) (Object, error)
+	// Put stores an object if it still has the version that o names, and returns the new one.
 	Put(ctx context.Context, o Object) (int64, error)
 }
 
 // InstanceList is the platform's list of live and leaving instances, which lags.
 type InstanceList interface {
-	List(ctx context.Context) (Listing, error)
+	Listing(ctx context.Context) (Listing, error)
 }
 
 // Ticks is one subscription to a Timer.
--- a/steering.go
+++ b/steering.go
@@ -92,8 +92,8 @@
 
 // Feed reads whole tables of the platform and waits for their changes.
 type Feed interface {
-	// List returns all rows of a table as of one version.
-	List(ctx context.Context, table string) (Changes, error)
+	// Rows returns all rows of a table as of one version.
+	Rows(ctx context.Context, table string) (Changes, error)
 	// Watch returns the changes after a version as soon as there are any, or none when the wait is over.
 	Watch(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error)
 }
