A restarted instance asks peers at once; promises of servers are checked

Cause 1: an instance that restarts while the platform is silent waited for the end of its calls (1.2 s) and for its next tick before it asked peers for rows. Until then it refused every request, and look-ups still named it. Change: after 250 ms without an answer it asks two peers, and again each 250 ms until it has read all tables.

Cause 2 (by reading): a server's sealed 503 or 429 without its not-run mark was passed on, and clients take these as a promise that the request never ran; after a run at one server, the sealed refusal of a second was passed on too. Change: such answers become 502, or the failure that the first server answered.

Cause 3 (by reading): a charge that a server refused was sent to another although its client had left. Change: it is not repeated.

Each has a test that failed first.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -37,10 +37,15 @@
 	steps []step
 	sent  []link.Request
 	hung  chan struct{}
+	// before is called as a request is sent, if set.
+	before func()
 }
 
 func (s *sender) Send(ctx context.Context, r link.Request) (*link.Answer, error) {
 	s.sent = append(s.sent, r)
+	if s.before != nil {
+		s.before()
+	}
 	if len(s.steps) == 0 {
 		return nil, lovageyard.NotRun("no step left", nil)
 	}
@@ -146,6 +151,12 @@
 	}}
 }
 
+// sealed makes the server vouch for a step's answer.
+func sealed(s step) step {
+	s.answer.Meta.Sealed = true
+	return s
+}
+
 var (
 	unsealed = step{answer: &link.Answer{Status: http.StatusOK, Header: http.Header{}, Body: []byte("spoiled")}}
 	lost     = step{err: lovageyard.MayHaveRun("the connection ended", nil)}
@@ -176,6 +187,11 @@
 		{"refused by both servers", true, []step{notRun(503), notRun(503)}, 503, 2, `"outcome":"refused"`},
 		{"not reached, not run", false, []step{unsent, unsent}, 503, 2, `"verdict":"not-run"`},
 		{"run at the first, refused by the second", true, []step{lost, notRun(503)}, 502, 2, `"outcome":"failed"`},
+		{"run at the first, a sealed refusal by the second", true, []step{lost, sealed(notRun(503))}, 502, 2, `"outcome":"failed"`},
+		{"failed at the first, refused by the second", true, []step{good(500), notRun(503)}, 500, 2, `"outcome":"answered"`},
+		{"failed at the first, lost at the second", true, []step{good(500), lost}, 500, 2, `"outcome":"answered"`},
+		{"a refusal that does not say that it did not run", false, []step{good(503)}, 502, 1, `"verdict":"ran"`},
+		{"too many requests, but it may have run", true, []step{good(429), good(429)}, 502, 2, `"outcome":"failed"`},
 		{"malformed for the server", true, []step{notRun(400)}, 400, 1, `"outcome":"rejected"`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -271,6 +287,19 @@
 	}
 }
 
+// A charge that a server refused is not sent to another once its client has left.
+func TestChargeOfAClientThatLeftIsNotSentAgain(t *testing.T) {
+	y := newYard(t, notRun(503), good(200))
+	y.setRoute(lovageyard.Route{Name: "r", Host: "a.example", Prefix: "/x/", Timeout: 20 * time.Second, Attempts: 2})
+	ctx, cancel := context.WithCancel(context.Background())
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/x/", strings.NewReader("b"))
+	request.Host = "a.example"
+	y.sender.before = cancel
+	y.handler().ServeHTTP(httptest.NewRecorder(), request)
+	y.c.Assert(y.sender.sent, qt.HasLen, 1)
+	y.c.Assert(y.log.String(), qt.Contains, `"outcome":"client gone"`)
+}
+
 func TestLookUpNamesTheOwnRegionFirst(t *testing.T) {
 	c := qt.New(t)
 	member := func(name, region string, state lovageyard.InstanceState) lovageyard.EntryInstance {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -99,6 +99,9 @@
 	if a.verdict() != lovageyard.VerdictNotRun {
 		x.ran = true
 	}
+	if a.mayBePassed() {
+		x.failed = a
+	}
 	if a.answer != nil && a.answer.Meta.Misdirected {
 		x.handler.Sender.Forget(choice.Server.Name)
 	}
@@ -143,7 +146,23 @@
 // isGood says whether the client gets the server's answer as a success, or as a refusal
 // of the request itself that another server would repeat.
 func (a *attempt) isGood() bool {
-	return a.answer != nil && !a.answer.Meta.NotRun && a.answer.Meta.Sealed && a.answer.Status < http.StatusInternalServerError
+	return a.mayBePassed() && a.answer.Status < http.StatusInternalServerError
+}
+
+// mayBePassed says whether the client may get the server's answer: the server vouches for
+// it, and it does not tell the client that a request which ran has not.
+func (a *attempt) mayBePassed() bool {
+	return a.answer != nil && a.answer.Meta.Sealed && !a.answer.Meta.NotRun && !promisesNotRun(a.answer.Status)
+}
+
+// promisesNotRun says whether clients take a status as a promise that the request has not
+// run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // verdict says whether the attempt may have run.
@@ -166,7 +185,7 @@
 
 // mayRepeat says whether the request may be sent to another server.
 func (x *exchange) mayRepeat(ctx context.Context, a *attempt) bool {
-	if ctx.Err() != nil || len(x.tried) >= x.route.Attempts {
+	if ctx.Err() != nil || x.request.Context().Err() != nil || len(x.tried) >= x.route.Attempts {
 		return false
 	}
 	if a.answer != nil && a.answer.Meta.NotRun && a.answer.Status == http.StatusBadRequest {
@@ -175,15 +194,18 @@
 	return !x.ran || x.route.Idempotent
 }
 
-// finish answers with what the last attempt gave.
+// finish answers with what the last attempt gave, or with the failure that an earlier
+// server answered if that is all there is.
 func (x *exchange) finish(ctx context.Context, a *attempt) {
 	switch {
 	case x.request.Context().Err() != nil:
 		x.log(logrus.InfoLevel, "client gone", statusClientGone, a.reason(), a)
 	case a.answer != nil && a.answer.Meta.NotRun && !x.ran:
 		x.passRefusal(a)
-	case a.answer != nil && a.answer.Meta.Sealed:
+	case a.mayBePassed():
 		x.pass(a)
+	case x.failed != nil:
+		x.pass(x.failed)
 	case !x.ran:
 		x.log(logrus.InfoLevel, "refused", http.StatusServiceUnavailable, a.reason(), a)
 		x.fail(http.StatusServiceUnavailable, a.reason(), retrySoon)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -97,6 +97,8 @@
 	tried    []string
 	// ran says that an attempt may have run the request.
 	ran bool
+	// failed is the last attempt whose server answered with a failure of its own, or nil.
+	failed *attempt
 }
 
 // serve checks the request and runs it.
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -27,6 +27,10 @@
 	// rounds of exchange with random peers.
 	silence   = 4 * time.Second
 	inboxSize = 256
+	// startEvery is the pause after which an instance that has just started asks peers for
+	// the rows that the platform has not given it: the platform answers in about 4 ms, and
+	// 60 times as slowly on a bad day. Until it has them, the instance refuses requests.
+	startEvery = 250 * time.Millisecond
 )
 
 // Peers reaches other entry instances.
@@ -149,11 +153,19 @@
 
 func (c *Control) run(ticks lovageyard.Ticks) {
 	defer ticks.Close()
+	starting := c.settings.Timer.Subscribe(startEvery)
+	defer starting.Close()
 	c.tick(c.settings.Timer.Now())
 	for {
 		select {
 		case now := <-ticks.C():
 			c.tick(now)
+		case <-starting.C():
+			if c.hasReadAll() {
+				starting.Close()
+			} else {
+				c.shareWithSome()
+			}
 		case m := <-c.inbox:
 			m.apply(c)
 		case <-c.context.Done():
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -87,18 +87,39 @@
 	return g
 }
 
+// silentFeed is a platform that never answers.
+type silentFeed struct{}
+
+func (silentFeed) Rows(ctx context.Context, _ string) (lovageyard.Changes, error) {
+	<-ctx.Done()
+	return lovageyard.Changes{}, ctx.Err()
+}
+
+func (f silentFeed) Watch(ctx context.Context, table string, _ int64, _ time.Duration) (lovageyard.Changes, error) {
+	return f.Rows(ctx, table)
+}
+
 // start starts an instance; address is the store's, or one that nobody listens at.
 func (g *group) start(name string, life int64, address string, seeds ...string) *fleet.Control {
+	client := platform.NewStore(address, quiet())
+	return g.startOn(name, life, client, client, seeds...)
+}
+
+func quiet() *logrus.Logger {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	client := platform.NewStore(address, logger)
+	return logger
+}
+
+// startOn starts an instance that reads from a feed and writes through a registrar.
+func (g *group) startOn(name string, life int64, feed lovageyard.Feed, registrar fleet.Registrar, seeds ...string) *fleet.Control {
 	control := fleet.New(fleet.Settings{
 		Self: lovageyard.EntryInstance{
 			Name: name, Life: life, FailureDomain: "north-1", Region: "north",
 			CallerAddress: name + ":1", PeerAddress: name + ":2", State: lovageyard.StateLive,
 		},
-		Feed: client, Registrar: client, Decoder: platform.Decoder{}, Peers: peers{network: g.network, self: name + ":2"},
-		Follower: follower{}, Timer: timer.Clock{}, Logger: logger, Metrics: metrics.NewRegistry(), Seeds: seeds, Seed: uint64(life),
+		Feed: feed, Registrar: registrar, Decoder: platform.Decoder{}, Peers: peers{network: g.network, self: name + ":2"},
+		Follower: follower{}, Timer: timer.Clock{}, Logger: quiet(), Metrics: metrics.NewRegistry(), Seeds: seeds, Seed: uint64(life),
 	})
 	g.network.mu.Lock()
 	g.network.instances[name+":2"] = control
@@ -202,6 +223,17 @@
 	g.until("the drain from peers", func() bool { return cutOff.View().Drained["north-9"] })
 }
 
+// An instance does not wait for the end of a call to a platform that is silent.
+func TestInstanceWithSilentPlatformStartsFromItsPeers(t *testing.T) {
+	g := newGroup(t)
+	g.start("entry-0", 1, g.address)
+	defer g.stop("entry-0")
+	client := platform.NewStore("127.0.0.1:1", quiet())
+	restarted := g.startOn("entry-1", 1, silentFeed{}, client, "entry-0:2")
+	defer g.stop("entry-1")
+	g.until("ready from peers", func() bool { return restarted.View().Ready && version(restarted) == 1 })
+}
+
 // The time of day may step back between two lives of an instance.
 func TestInstanceThatRestartsWithAnOlderClockIsHeard(t *testing.T) {
 	g := newGroup(t)
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -64,8 +64,8 @@
 
 func (c *Control) shareAt(address string) {
 	request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.gossip()}
-	if c.state.Ready() || len(c.failing) > 0 {
-		// An instance that has just started reads whole tables from the platform.
+	if c.settings.Timer.Now().Sub(c.began) >= startEvery {
+		// Before, whole tables are on their way from the platform.
 		request.Cursors = c.cursors()
 	}
 	c.call("share "+address, func(ctx context.Context) message {
@@ -74,6 +74,16 @@
 	})
 }
 
+// hasReadAll says whether all followed tables have been read from the platform or a peer.
+func (c *Control) hasReadAll() bool {
+	for _, table := range lovageyard.FollowedTables() {
+		if c.state.Cursor(table) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Control) gossip() []*wire.Pulse {
 	var out []*wire.Pulse
 	for _, m := range c.members.Gossip(maxPulses, c.settings.Timer.Now()) {
