Word of instances carries its age, and is exchanged mostly within a region

Silence of 4 s was counted from when word came; the last heartbeat of a dead instance goes round for seconds among 68 and began the 4 s anew.

Change: word at second hand carries its age and silence counts from when the instance spoke; word that is too old is neither believed nor passed on. Each second an instance exchanges with two peers of its region and one of all (it was two of all), and tells 24 members (16), first those of its region. Lines name changes in the own region only.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -23,8 +23,9 @@
 // Periods and limits of the control loop.
 const (
 	tickEvery = time.Second
-	// silence is how long a peer may be unheard before look-ups stop naming it: a few
-	// rounds of exchange with random peers.
+	// silence is how long a peer may not have spoken before look-ups stop naming it. Word of
+	// a live one is 2 s old at most, but for few, in a region of 23 instances; operators allow
+	// 6 s and more until a dead one is named no more.
 	silence   = 4 * time.Second
 	inboxSize = 256
 	// startEvery is the pause after which an instance that has just started asks peers for
@@ -254,9 +255,12 @@
 	if len(before.Drained) != len(after.Drained) {
 		c.settings.Logger.WithField("failure-domains", keys(after.Drained)).Info("drained failure domains changed")
 	}
-	if joined, left := difference(before.Live, after.Live); len(joined)+len(left) > 0 {
+	// Word of other regions comes late and by chance, and look-ups use it only if the own
+	// region has no live instance: their number is enough.
+	if joined, left := difference(c.inRegion(before.Live), c.inRegion(after.Live)); len(joined)+len(left) > 0 {
 		c.settings.Logger.WithFields(logrus.Fields{
 			"live":   len(after.Live),
+			"region": c.self.Region,
 			"joined": joined,
 			"left":   left,
 		}).Info("live entry instances changed")
@@ -266,6 +270,17 @@
 	}
 }
 
+// inRegion returns the instances that are in the own region.
+func (c *Control) inRegion(instances []lovageyard.EntryInstance) []lovageyard.EntryInstance {
+	var own []lovageyard.EntryInstance
+	for _, i := range instances {
+		if i.Region == c.self.Region {
+			own = append(own, i)
+		}
+	}
+	return own
+}
+
 // difference returns the names that only the second and only the first list has; both are
 // in the order of their names.
 func difference(before, after []lovageyard.EntryInstance) (joined, left []string) {
@@ -296,7 +311,7 @@
 	c.self.State = lovageyard.StateLeaving
 	c.beat(c.settings.Timer.Now())
 	c.dirty = true
-	c.shareWithAll()
+	c.shareWithMany()
 }
 
 // Refuse makes this instance refuse new requests.
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -147,7 +147,7 @@
 func (c *Control) reply(changes []*wire.TableChanges) *wire.ShareReply {
 	return &wire.ShareReply{
 		From:    peer.FromMember(c.self),
-		Pulses:  c.gossip(),
+		Pulses:  c.pulses(),
 		Changes: changes,
 		Stale:   c.isStale() || !c.direct.Load(),
 	}
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lovageyard.example/lovageyard"
@@ -12,65 +13,77 @@
 
 // Limits of the exchange between instances.
 const (
-	// shareFanOut is the number of random peers that an instance exchanges with each tick.
-	shareFanOut = 2
+	// nearFanOut and anyFanOut are the numbers of random peers of the own region, and of all,
+	// that an instance exchanges with each tick.
+	nearFanOut = 2
+	anyFanOut  = 1
 	// maxPulses bounds the instances that one message passes word of.
-	maxPulses = 16
+	maxPulses = 24
 	// maxTold bounds the peers that a leaving instance tells itself.
 	maxTold = 16
 )
 
-// shareWithSome exchanges with a few random peers.
+// partner is a peer to exchange with.
+type partner struct {
+	address string
+	// region is "" for a peer of which only the address is known.
+	region string
+}
+
+// shareWithSome exchanges with a few random peers, of which some are in the own region.
 func (c *Control) shareWithSome() {
-	c.shareWith(shareFanOut)
+	partners := c.partners()
+	near := slices.DeleteFunc(slices.Clone(partners), func(p partner) bool { return p.region != c.self.Region })
+	c.shareWith(near[:min(nearFanOut, len(near))])
+	c.shareWith(partners[:min(anyFanOut, len(partners))])
 }
 
-// shareWithAll exchanges with every known peer, up to a bound.
-func (c *Control) shareWithAll() {
-	c.shareWith(maxTold)
+// shareWithMany exchanges with every known peer, up to a bound.
+func (c *Control) shareWithMany() {
+	partners := c.partners()
+	c.shareWith(partners[:min(maxTold, len(partners))])
 }
 
-func (c *Control) shareWith(count int) {
-	addresses := c.peerAddresses()
-	c.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	for _, address := range addresses[:min(count, len(addresses))] {
-		c.shareAt(address)
+func (c *Control) shareWith(partners []partner) {
+	for _, p := range partners {
+		c.shareAt(p)
 	}
 }
 
-// peerAddresses returns the addresses of all instances that may be alive.
-func (c *Control) peerAddresses() []string {
-	found := make(map[string]bool)
+// partners returns all instances that may be alive, in random order.
+func (c *Control) partners() []partner {
+	found := make(map[string]string)
 	for _, m := range c.members.Heard() {
-		found[m.PeerAddress] = true
+		found[m.PeerAddress] = m.Region
 	}
 	for _, m := range c.state.Instances() {
 		if _, heard := c.members.Find(m.Name); !heard {
-			found[m.PeerAddress] = true
+			found[m.PeerAddress] = m.Region
 		}
 	}
 	if len(found) <= 1 {
 		for _, address := range c.seeds {
-			found[address] = true
+			found[address] = ""
 		}
 	}
 	delete(found, c.self.PeerAddress)
-	var addresses []string
-	for address := range found {
-		addresses = append(addresses, address)
+	var partners []partner
+	for address, region := range found {
+		partners = append(partners, partner{address: address, region: region})
 	}
-	return addresses
+	c.random.Shuffle(len(partners), func(i, j int) { partners[i], partners[j] = partners[j], partners[i] })
+	return partners
 }
 
-func (c *Control) shareAt(address string) {
-	request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.gossip()}
+func (c *Control) shareAt(p partner) {
+	request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.pulses()}
 	if c.settings.Timer.Now().Sub(c.began) >= startEvery {
 		// Before, whole tables are on their way from the platform.
 		request.Cursors = c.cursors()
 	}
-	c.call("share "+address, func(ctx context.Context) message {
-		reply, err := c.settings.Peers.Share(ctx, address, request)
-		return shared{address: address, reply: reply, err: err}
+	c.call("share "+p.address, func(ctx context.Context) message {
+		reply, err := c.settings.Peers.Share(ctx, p.address, request)
+		return shared{address: p.address, reply: reply, err: err}
 	})
 }
 
@@ -84,14 +97,16 @@
 	return true
 }
 
-func (c *Control) gossip() []*wire.Pulse {
+// pulses returns word of others for a peer.
+func (c *Control) pulses() []*wire.Pulse {
 	var out []*wire.Pulse
-	for _, m := range c.members.Gossip(maxPulses, c.settings.Timer.Now()) {
+	for _, m := range c.members.GossipOf(c.self.Region, maxPulses, c.settings.Timer.Now()) {
 		out = append(out, &wire.Pulse{
 			Instance:  m.Name,
 			Life:      m.Life,
 			Heartbeat: m.Heartbeat,
 			Leaving:   m.State != lovageyard.StateLive,
+			AgeMs:     m.Age.Milliseconds(),
 		})
 	}
 	return out
@@ -150,6 +165,7 @@
 	}
 	m.Life = p.GetLife()
 	m.Heartbeat = p.GetHeartbeat()
+	m.Age = time.Duration(p.GetAgeMs()) * time.Millisecond
 	m.State = lovageyard.StateLive
 	if p.GetLeaving() {
 		m.State = lovageyard.StateLeaving
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -198,3 +198,66 @@
 	table.Hear(news, later)
 	c.Assert(table.Gossip(count, later)[0].Name, qt.Equals, all[59].Name)
 }
+
+// Word of a member travels through others: silence counts from when the member spoke, so
+// that late word does not bring a member back that has long been dead.
+func TestSilenceCountsFromWhenTheMemberSpoke(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	const patience = 4 * time.Second
+	table := NewTable(member("self", "north-1", 1, 1), start)
+	table.SetPatience(patience)
+	dead := member("dead", "north-1", 1, 1)
+	table.Hear(dead, start)
+	c.Assert(table.Live(), qt.HasLen, 2)
+
+	// Its last heartbeat comes by a long way.
+	dead.Heartbeat++
+	dead.Age = 3 * time.Second
+	now := start.Add(3 * time.Second)
+	c.Assert(table.Hear(dead, now), qt.IsTrue)
+	c.Assert(table.Tick(now.Add(900*time.Millisecond)), qt.IsFalse)
+	c.Assert(table.Tick(now.Add(time.Second)), qt.IsTrue)
+	c.Assert(table.Live(), qt.HasLen, 1)
+
+	// One that is too old when it comes does not bring the member back.
+	dead.Heartbeat++
+	dead.Age = 5 * time.Second
+	now = now.Add(2 * time.Second)
+	table.Hear(dead, now)
+	c.Assert(table.Live(), qt.HasLen, 1)
+
+	// It is not passed on either.
+	c.Assert(table.GossipOf("north", 10, now), qt.HasLen, 0)
+
+	// What is young enough is passed on with its age.
+	dead.Heartbeat++
+	dead.Age = time.Second
+	table.Hear(dead, now)
+	c.Assert(table.Live(), qt.HasLen, 2)
+	passed := table.GossipOf("north", 10, now.Add(time.Second))
+	c.Assert(passed, qt.HasLen, 1)
+	c.Assert(passed[0].Age, qt.Equals, 2*time.Second)
+}
+
+// Look-ups name the instances of the own region, so that word of these goes first.
+func TestGossipPutsOneRegionFirst(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	table := NewTable(member("self", "north-1", 1, 1), start)
+	table.SetPatience(time.Hour)
+	for i := range 30 {
+		m := member(fmt.Sprintf("m-%02d", i), "north-1", 1, 1)
+		if i%3 > 0 {
+			m.Region = "south"
+		}
+		table.Hear(m, start)
+	}
+	later := start.Add(time.Minute)
+	const count = 16
+	counts := make(map[string]int)
+	for _, m := range table.GossipOf("south", count, later) {
+		counts[m.Region]++
+	}
+	c.Assert(counts, qt.DeepEquals, map[string]int{"south": 12, "n": 4})
+}
--- a/instance/table.go
+++ b/instance/table.go
@@ -31,6 +31,8 @@
 	Version int64
 	// Steps are the plan steps in force there.
 	Steps []Step
+	// Age is how old this word was when it came; word that came through others has an age.
+	Age time.Duration
 }
 
 // Step tells how far an instance is with the plan of one class.
@@ -47,6 +49,7 @@
 type entry struct {
 	member  Member
 	machine *fsm.FSM
+	// changed is when the member last spoke, or when it was first listed.
 	changed time.Time
 	// news is when the judgement or the description changed last.
 	news   time.Time
@@ -100,13 +103,16 @@
 	}
 	before := e.machine.Current()
 	described := e.member.EntryInstance
+	if spoke := now.Add(-m.Age); !e.heard || spoke.After(e.changed) {
+		e.changed = spoke
+	}
 	e.member = m
 	e.heard = true
-	e.changed = now
-	if m.State == lovageyard.StateLive {
-		fire(e.machine, eventHeard)
-	} else {
+	switch {
+	case m.State != lovageyard.StateLive:
 		fire(e.machine, eventLeaving)
+	case now.Sub(e.changed) < t.patience(e):
+		fire(e.machine, eventHeard)
 	}
 	if described != m.EntryInstance || before != e.machine.Current() {
 		t.note(e, now)
@@ -265,23 +271,47 @@
 // the rest by turns, half for the own failure domain and half for others. The steps of
 // other failure domains' members are left out, as only neighbours need them.
 func (t *Table) Gossip(count int, now time.Time) []Member {
-	heard := t.Heard()
-	if len(heard) <= count {
-		return t.trim(heard)
+	isFirst := func(m Member) bool { return m.FailureDomain == t.domain }
+	return t.trim(t.choose(t.Heard(), count, now, isFirst, 0.5))
+}
+
+// regionShare is the part of GossipOf's turns that is for members of the region.
+const regionShare = 0.75
+
+// GossipOf returns up to a number of members to tell a peer of: a quarter of it for news, the
+// rest by turns, most of that for members of one region. Members that have been silent for
+// too long are left out.
+func (t *Table) GossipOf(region string, count int, now time.Time) []Member {
+	heard := slices.DeleteFunc(t.Heard(), func(m Member) bool {
+		e := t.entries[m.Name]
+		return now.Sub(e.changed) >= t.patience(e)
+	})
+	isFirst := func(m Member) bool { return m.Region == region }
+	chosen := t.choose(heard, count, now, isFirst, regionShare)
+	for i := range chosen {
+		chosen[i].Age = now.Sub(t.entries[chosen[i].Name].changed)
+	}
+	return t.trim(chosen)
+}
+
+// choose returns up to a number of members: a quarter of it for news, and of the rest a
+// share by turns for the members that go first.
+func (t *Table) choose(members []Member, count int, now time.Time, isFirst func(Member) bool, share float64) []Member {
+	if len(members) <= count {
+		return members
 	}
 	t.turn++
 	var chosen []Member
-	for _, m := range heard {
+	for _, m := range members {
 		if len(chosen) < count/4 && now.Sub(t.entries[m.Name].news) < newsFor {
 			chosen = append(chosen, m)
 		}
 	}
-	own := slices.DeleteFunc(slices.Clone(heard), func(m Member) bool { return m.FailureDomain != t.domain })
-	others := slices.DeleteFunc(heard, func(m Member) bool { return m.FailureDomain == t.domain })
-	rest := count - len(chosen)
-	chosen = append(chosen, window(own, t.turn, min(rest/2, len(own)))...)
-	chosen = append(chosen, window(others, t.turn, min(count-len(chosen), len(others)))...)
-	return t.trim(chosen)
+	first := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !isFirst(m) })
+	others := slices.DeleteFunc(members, isFirst)
+	forFirst := int(share * float64(count-len(chosen)))
+	chosen = append(chosen, window(first, t.turn, min(forFirst, len(first)))...)
+	return append(chosen, window(others, t.turn, min(count-len(chosen), len(others)))...)
 }
 
 // window returns the part of a list whose turn it is.
