Work that leaves a region goes to one home, and shares change by 0.03 a second

Cause 1: an object that leaves its region alternated between the homes in the other regions, by whichever was cheaper at the moment, and ran cold at both. Change: the home that is first in the object's order, unless it costs a mean work more. Change: 0.03 a second instead of 0.04; the test plays 8 seeds of each load (largest 0.131).

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -52,6 +52,9 @@
 	work   time.Duration
 	load   float64
 	local  bool
+	// rank is the server's place in the order of the request's object, the highest first; 0
+	// without an object.
+	rank uint64
 }
 
 // Choose gives a request the server that should answer first, or refuses it.
@@ -87,17 +90,34 @@
 		if c == nil {
 			continue
 		}
+		if object != 0 {
+			c.rank = one.rankFor(object)
+		}
 		into := &remote
 		if c.local {
 			into = &local
 		}
-		if *into == nil || c.cost < (*into).cost {
+		if *into == nil || goesBefore(c, *into, s.mean) {
 			*into = c
 		}
 	}
 	return local, remote
 }
 
+// goesBefore says whether one candidate goes before another. Without an object, and within a
+// region, it is the one that costs less. Among the homes of an object in other regions it is
+// the one that comes first in the object's order, unless it costs a mean work more: an object
+// that alternates between two homes runs cold at both.
+func goesBefore(c, other *candidate, mean time.Duration) bool {
+	switch {
+	case c.rank == other.rank || c.local:
+		return c.cost < other.cost
+	case c.rank > other.rank:
+		return c.cost < other.cost+mean
+	}
+	return c.cost+mean < other.cost
+}
+
 // homes returns the servers that may run a request: for an object the one that comes first
 // in the object's order in each region, as each further one would run it cold and push
 // other objects out of its memory; without an object all that are eligible.
@@ -117,7 +137,7 @@
 		switch {
 		case i < 0:
 			homes = append(homes, one)
-		case instance.Mix(object^one.hash) > instance.Mix(object^homes[i].hash):
+		case one.rankFor(object) > homes[i].rankFor(object):
 			homes[i] = one
 		}
 	}
--- a/dispatch/choose_test.go
+++ b/dispatch/choose_test.go
@@ -99,6 +99,31 @@
 	y.c.Fatal("no request was refused")
 }
 
+// While a region is drained, its objects run at one server each: those that alternate between
+// the other regions would run cold at both.
+func TestObjectsOfADrainedRegionStayTogether(t *testing.T) {
+	y := newYard(t)
+	for i := range 3 {
+		y.view.Servers = append(y.view.Servers, catalog.Server{BackendServer: lovageyard.BackendServer{
+			Name: fmt.Sprintf("south-%d", i), Service: "desk", Region: "south", FailureDomain: "south-1",
+			Slots: 2, State: lovageyard.StateLive,
+		}})
+	}
+	y.view.Drained["east-1"] = true
+	y.table.SetCatalog(y.view)
+	regions := make(map[string]bool)
+	for i := range 30 {
+		key := fmt.Sprint(i)
+		first := y.choose(key)
+		again := y.choose(key)
+		y.c.Assert(again.Server.Name, qt.Equals, first.Server.Name)
+		y.done(first, dispatch.Outcome{Answered: true})
+		y.done(again, dispatch.Outcome{Answered: true})
+		regions[first.Server.Region] = true
+	}
+	y.c.Assert(regions, qt.DeepEquals, map[string]bool{"south": true, "west": true})
+}
+
 func TestServerThatDoesNotAnswerIsLeftAlone(t *testing.T) {
 	y := newYard(t)
 	first := y.choose("k")
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -406,13 +406,15 @@
 
 // The share of a region's requests that run elsewhere must not jump, also when load does.
 func TestShareThatLeavesARegionChangesSlowly(t *testing.T) {
-	c := qt.New(t)
 	const largestAllowed = 0.15
-	for _, l := range []load{widened(statements), widened(desks)} {
-		for l.seed = range uint64(3) {
-			m := newModel(l)
-			m.play(byTable(m))
-			c.Check(m.largestShift() <= largestAllowed, qt.IsTrue, qt.Commentf("%.3f with seed %d", m.largestShift(), l.seed))
+	for name, l := range map[string]load{"statements": widened(statements), "desks": widened(desks)} {
+		for l.seed = range uint64(8) {
+			t.Run(fmt.Sprint(name, " ", l.seed), func(t *testing.T) {
+				t.Parallel()
+				m := newModel(l)
+				m.play(byTable(m))
+				qt.Assert(t, m.largestShift() <= largestAllowed, qt.IsTrue, qt.Commentf("%.3f", m.largestShift()))
+			})
 		}
 	}
 }
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -8,6 +8,7 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
+	"lovageyard.example/lovageyard/instance"
 )
 
 // Weights and spans of the estimates that are kept for each server.
@@ -65,6 +66,11 @@
 	}
 }
 
+// rankFor returns the server's place in the order of an object, the highest first.
+func (s *server) rankFor(object uint64) uint64 {
+	return instance.Mix(object ^ s.hash)
+}
+
 // takesWork says whether the server may get new requests at all.
 func (s *server) takesWork() bool {
 	return !s.gone && s.State == lovageyard.StateLive
--- a/dispatch/spill.go
+++ b/dispatch/spill.go
@@ -5,9 +5,9 @@
 // Limits of the share of requests that run in other regions.
 const (
 	// spillRate is how fast the share of a service's requests that run in other regions may
-	// change, in shares a second: two seconds' change stays well below the largest shift
-	// that the operators allow, with room for chance.
-	spillRate = 0.04
+	// change, in shares a second. Two seconds' change is 0.06 of the 0.15 that operators allow;
+	// chance adds up to as much (0.131 at most in 16 plays of the model; 0.193 with 0.04).
+	spillRate = 0.03
 	// wishWeight is the weight of one request's wish in the wanted share.
 	wishWeight = 0.03
 )
