A stuck output keeps no instance from ending; routine lines are dropped first

Cause (by reading): the sink's Close waited for a write that never ended if nobody read the output, so that an instance that left was killed at the end of its grace time; a full sink dropped refusals and changes of belief like plain successes, and nothing bounded the rate.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/decision"
 	"lovageyard.example/lovageyard/dispatch"
 	"lovageyard.example/lovageyard/link"
 )
@@ -247,7 +248,7 @@
 	if err != nil {
 		reason = "the answer could not be written: " + err.Error()
 	}
-	x.log(logrus.InfoLevel, "answered", a.answer.Status, reason, a)
+	x.log(logrus.InfoLevel, decision.OutcomeAnswered, a.answer.Status, reason, a)
 	x.count(a.answer.Status)
 	x.observe()
 }
@@ -267,15 +268,15 @@
 		return
 	}
 	fields := logrus.Fields{
-		"request-id": x.meta.ID,
-		"outcome":    outcome,
-		"reason":     reason,
-		"attempts":   len(x.tried),
-		"version":    x.view.Version(),
-		"elapsed-ms": x.handler.Timer.Now().Sub(x.began).Milliseconds(),
+		"request-id":          x.meta.ID,
+		decision.FieldOutcome: outcome,
+		"reason":              reason,
+		"attempts":            len(x.tried),
+		"version":             x.view.Version(),
+		"elapsed-ms":          x.handler.Timer.Now().Sub(x.began).Milliseconds(),
 	}
 	if status != 0 {
-		fields["status"] = status
+		fields[decision.FieldStatus] = status
 	}
 	if x.route != nil {
 		fields["route"] = x.route.Name
--- /dev/null
+++ b/integration/edge_test.go
@@ -0,0 +1,246 @@
+package integration
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/platform/fake"
+)
+
+// Names on the stand-in platform.
+const (
+	edgeHost     = "a.example"
+	edgeService  = "desk"
+	lookUpPrefix = "/look-up/"
+	chargePrefix = "/charge/"
+	slowPrefix   = "/slow/"
+	nonePrefix   = "/none/"
+)
+
+// observer ignores what happens at servers.
+type observer struct{}
+
+func (observer) Arrived(string, string) {}
+func (observer) Ran(string, string)     {}
+
+// edge is an entry instance as a process, on a stand-in store with two backend servers.
+type edge struct {
+	c       *qt.C
+	store   *fake.Store
+	servers []*fake.Server
+	command *exec.Cmd
+	output  *bufio.Reader
+	// address is where it takes callers' requests, and ready where it tells whether it can.
+	address string
+	ready   string
+}
+
+func newEdge(t *testing.T) *edge {
+	e := &edge{c: qt.New(t), store: fake.NewStore()}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	e.c.Assert(err, qt.IsNil)
+	store := &http.Server{Handler: e.store}
+	go func() { _ = store.Serve(listener) }()
+	e.c.Cleanup(func() {
+		e.store.Close()
+		store.Close()
+	})
+	e.configure()
+	for n := range 2 {
+		e.addServer(edgeService, fmt.Sprint("server-", n), time.Millisecond)
+	}
+	e.addServer("slow", "server-slow", 5*time.Second)
+	e.start(listener.Addr().String())
+	return e
+}
+
+func (e *edge) configure() {
+	route := func(name, prefix, service string, idempotent bool, timeout time.Duration) lovageyard.Route {
+		return lovageyard.Route{
+			Name: name, Host: edgeHost, Prefix: prefix, Idempotent: idempotent, Timeout: timeout, Goal: 100 * time.Millisecond,
+			Attempts: 2, Sticky: true, Parts: []lovageyard.Part{{Service: service, Weight: 1}},
+		}
+	}
+	services := make(map[string]lovageyard.Service)
+	for _, name := range []string{edgeService, "slow", "none"} {
+		services[name] = lovageyard.Service{Name: name, HealthPath: "/health", MaxConnections: 400}
+	}
+	e.store.PutConfiguration(lovageyard.Configuration{
+		Version: 1,
+		Routes: []lovageyard.Route{
+			route("look-up", lookUpPrefix, edgeService, true, 20*time.Second),
+			route("charge", chargePrefix, edgeService, false, 20*time.Second),
+			route("slow", slowPrefix, "slow", true, 300*time.Millisecond),
+			route("none", nonePrefix, "none", true, 20*time.Second),
+		},
+		Services:     services,
+		MaxBodyBytes: 1000,
+	})
+}
+
+func (e *edge) addServer(service, name string, work time.Duration) {
+	server, err := fake.StartServer(lovageyard.BackendServer{
+		Name: name, Service: service, FailureDomain: "north-1", Region: "north", Slots: 50, State: lovageyard.StateLive,
+	}, work, observer{})
+	e.c.Assert(err, qt.IsNil)
+	e.c.Cleanup(server.Close)
+	e.servers = append(e.servers, server)
+	e.store.PutServer(server.BackendServer)
+}
+
+// start runs the program and reads its output until it has told its addresses.
+func (e *edge) start(platform string) {
+	loopback := "127.0.0.1:0"
+	e.command = exec.Command(filepath.Join(bin, "lovageyardd"), "edge",
+		"--instance", "entry-1", "--failure-domain", "north-1", "--region", "north", "--regions", "north-1=north",
+		"--caller-address", loopback, "--ready-address", loopback, "--look-up-address", loopback, "--peer-address", loopback,
+		"--platform-address", platform, "--leave-within", "2s", "--retry-slack", "1000")
+	e.command.Stderr = os.Stderr
+	out, err := e.command.StdoutPipe()
+	e.c.Assert(err, qt.IsNil)
+	e.c.Assert(e.command.Start(), qt.IsNil)
+	e.c.Cleanup(func() {
+		_ = e.command.Process.Kill()
+		_ = e.command.Wait()
+	})
+	e.output = bufio.NewReader(out)
+	for e.address == "" {
+		line, err := e.output.ReadBytes('\n')
+		e.c.Assert(err, qt.IsNil)
+		var started struct {
+			Message string `json:"msg"`
+			Address string `json:"caller-address"`
+			Ready   string `json:"ready-address"`
+		}
+		e.c.Assert(json.Unmarshal(line, &started), qt.IsNil)
+		if started.Message == "started" {
+			e.address, e.ready = started.Address, started.Ready
+		}
+	}
+	e.until("readiness", func() bool {
+		response, err := http.Get("http://" + e.ready + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+func (e *edge) until(what string, holds func() bool) {
+	(&yard{c: e.c}).until(what, holds)
+}
+
+// ask sends one request and returns the answer's status and body.
+func (e *edge) ask(method, path, id, body string) (int, string) {
+	request, err := http.NewRequest(method, "http://"+e.address+path, strings.NewReader(body))
+	e.c.Assert(err, qt.IsNil)
+	request.Host = edgeHost
+	fake.SetHeaders(request.Header, id, id, 30*time.Second)
+	response, err := http.DefaultClient.Do(request)
+	e.c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	e.c.Assert(err, qt.IsNil)
+	return response.StatusCode, string(text)
+}
+
+// stop asks the process to leave and returns the rest of its output.
+func (e *edge) stop() string {
+	e.c.Assert(e.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	rest, err := io.ReadAll(e.output)
+	e.c.Assert(err, qt.IsNil)
+	e.c.Assert(e.command.Wait(), qt.IsNil)
+	return string(rest)
+}
+
+// Each outcome that a caller can see is explained by the log alone.
+func TestLogExplainsEveryOutcome(t *testing.T) {
+	t.Parallel()
+	e := newEdge(t)
+	every := func(f fake.Faults) {
+		for _, s := range e.servers {
+			s.SetFaults(f)
+		}
+	}
+	long := strings.Repeat("b", 2000)
+	tests := []struct {
+		id     string
+		faults fake.Faults
+		method string
+		path   string
+		body   string
+		status int
+		cause  string
+	}{
+		{"answered", fake.Faults{}, http.MethodGet, lookUpPrefix, "", 200, "answered with 200"},
+		{"no-route", fake.Faults{}, http.MethodGet, "/nowhere/", "", 404, "no route matches"},
+		{"too-long", fake.Faults{}, http.MethodPost, chargePrefix, long, 413, "request body too large"},
+		{"no-server", fake.Faults{}, http.MethodGet, nonePrefix, "", 503, "no server of the service"},
+		{"timeout", fake.Faults{}, http.MethodGet, slowPrefix, "", 504, "deadline exceeded"},
+		{"failed", fake.Faults{Fail: 1}, http.MethodGet, lookUpPrefix, "", 500, "the server answered 500"},
+		{"shed", fake.Faults{Shed: 1}, http.MethodPost, chargePrefix, "b", 503, "the server answered 503"},
+		{"lost-charge", fake.Faults{Lose: 1}, http.MethodPost, chargePrefix, "b", 502, "verdict may-have-run"},
+		{"spoiled", fake.Faults{Spoil: 1}, http.MethodPost, chargePrefix, "b", 502, "the answer broke off"},
+		{"lost", fake.Faults{Lose: 1}, http.MethodGet, lookUpPrefix, "", 502, "repeated after"},
+	}
+	for i, test := range tests {
+		every(fake.Faults{})
+		e.until("servers that are trusted again", func() bool {
+			status, _ := e.ask(http.MethodGet, lookUpPrefix, fmt.Sprint("before-", i), "")
+			return status == http.StatusOK
+		})
+		every(test.faults)
+		status, body := e.ask(test.method, test.path, test.id, test.body)
+		e.c.Check(status, qt.Equals, test.status, qt.Commentf("%s", test.id))
+		if status == http.StatusOK {
+			e.c.Check(body, qt.Equals, fake.Body(test.id))
+		}
+	}
+	path := filepath.Join(t.TempDir(), "entry-1.log")
+	e.c.Assert(os.WriteFile(path, []byte(e.stop()), 0o600), qt.IsNil)
+	for _, test := range tests {
+		story, err := exec.Command(filepath.Join(bin, "lovageyard"), "trace", test.id, path).CombinedOutput()
+		e.c.Assert(err, qt.IsNil, qt.Commentf("%s", story))
+		e.c.Check(string(story), qt.Contains, test.cause, qt.Commentf("%s", test.id))
+	}
+}
+
+// An instance whose output nobody reads serves on, and leaves in time.
+func TestBlockedOutputStopsNothing(t *testing.T) {
+	t.Parallel()
+	e := newEdge(t)
+	// About 2 MB of lines: more than the pipe and the lines that may wait hold.
+	const senders, each = 8, 500
+	var sending sync.WaitGroup
+	for n := range senders {
+		sending.Go(func() {
+			for i := range each {
+				id := fmt.Sprintf("%d-%d", n, i)
+				status, body := e.ask(http.MethodGet, lookUpPrefix, id, "")
+				e.c.Check(status, qt.Equals, http.StatusOK)
+				e.c.Check(body, qt.Equals, fake.Body(id))
+			}
+		})
+	}
+	sending.Wait()
+	e.c.Assert(e.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	state, err := e.command.Process.Wait()
+	e.c.Assert(err, qt.IsNil)
+	e.c.Assert(state.ExitCode(), qt.Equals, 0)
+}
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -116,8 +116,9 @@
 		State:         lovageyard.StateLive,
 	}
 	sink := decision.NewSink(os.Stdout)
-	logger.SetOutput(sink)
+	// Hooks run in this order: the name is added before the line is made.
 	logger.AddHook(nameHook{instance: o.Instance})
+	sink.Attach(logger)
 	e := &edge{options: o, logger: logger, sink: sink, timer: clock, registry: metrics.NewRegistry()}
 	e.assemble(self)
 	e.control.Start()
@@ -250,11 +251,14 @@
 // measure updates the gauges.
 func (e *edge) measure(now time.Time) {
 	census := e.dispatch.Census(now)
+	dropped := e.sink.Dropped()
 	for name, value := range map[string]int64{
-		"connections.opened": e.link.Opened(),
-		"servers.known":      int64(census.Servers),
-		"servers.suspect":    int64(census.Suspects),
-		"requests.in-flight": int64(census.InFlight),
+		"connections.opened":  e.link.Opened(),
+		"servers.known":       int64(census.Servers),
+		"servers.suspect":     int64(census.Suspects),
+		"requests.in-flight":  int64(census.InFlight),
+		"log.dropped.routine": dropped.Routine,
+		"log.dropped.other":   dropped.Other,
 	} {
 		metrics.GetOrRegisterGauge(name, e.registry).Update(value)
 	}
