Every metric named in one place, bounded, on a page made from the code

Cause: metrics were named where they were counted, without a bound on their number, and said nothing of causes of refusals, waits, repeats against the budget, cold servers or shares.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -44,6 +44,14 @@
 	retryAfterShare = 3
 )
 
+// Causes of refusals, for metrics.
+const (
+	CauseUnknownService = "unknown-service"
+	CauseRegionFull     = "region-full"
+	CauseNoServer       = "no-server"
+	CauseDeadline       = "deadline"
+)
+
 // candidate is a server with the estimate for one request.
 type candidate struct {
 	server *server
@@ -63,7 +71,7 @@
 	defer t.mu.Unlock()
 	s := t.services[r.Service]
 	if s == nil {
-		return t.refuse(r, nil, "no server of the service is known")
+		return t.refuse(r, nil, CauseUnknownService, "no server of the service is known")
 	}
 	object := uint64(0)
 	if r.Route.Sticky {
@@ -72,13 +80,13 @@
 	local, remote := t.rate(r, s, object)
 	best := t.pick(r, s, object, local, remote)
 	if best == nil && remote != nil {
-		return t.refuse(r, s, "the region's servers are full, and others take no more at once")
+		return t.refuse(r, s, CauseRegionFull, "the region's servers are full, and others take no more at once")
 	}
 	if best == nil {
-		return t.refuse(r, s, "no server of the service takes work")
+		return t.refuse(r, s, CauseNoServer, "no server of the service takes work")
 	}
 	if r.Now.Add(best.wait + best.work).After(r.Deadline) {
-		return t.refuse(r, s, "the deadline can't be met")
+		return t.refuse(r, s, CauseDeadline, "the deadline can't be met")
 	}
 	return t.send(r, s, best)
 }
@@ -281,7 +289,8 @@
 		one.busySince = r.Now
 	}
 	one.inFlight++
-	if r.Now.Before(one.ColdUntil) {
+	cold := r.Now.Before(one.ColdUntil)
+	if cold {
 		one.cold.note(r.Now)
 	}
 	reason := "least expected time"
@@ -295,6 +304,7 @@
 		Load:     c.load,
 		LoadAge:  one.reportAge(r.Now),
 		Reason:   reason,
+		Cold:     cold,
 		server:   one,
 		service:  s,
 		route:    r.Route,
@@ -305,14 +315,14 @@
 
 // refuse turns a request away; its client should come back when about one mean work has
 // passed, spread so that refused clients do not come back together.
-func (t *Table) refuse(r Request, s *service, reason string) Choice {
+func (t *Table) refuse(r Request, s *service, cause, reason string) Choice {
 	mean := firstMean
 	if s != nil {
 		mean = s.mean
 	}
 	after := time.Duration((0.5 + t.random.Float64()) * float64(mean))
 	after = max(leastRetryAfter, min(after, r.Deadline.Sub(r.Now)/retryAfterShare))
-	return Choice{Refused: true, Reason: reason, RetryAfter: after}
+	return Choice{Refused: true, Cause: cause, Reason: reason, RetryAfter: after}
 }
 
 // Census counts what the table holds, for metrics.
@@ -320,13 +330,20 @@
 	Servers  int
 	Suspects int
 	InFlight int
+	// Elsewhere is, for each service, the share of the region's requests that runs in other regions.
+	Elsewhere map[string]float64
 }
 
 // Census returns the counts at a time.
 func (t *Table) Census(now time.Time) Census {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var c Census
+	c := Census{Elsewhere: make(map[string]float64)}
+	for name, s := range t.services {
+		if s.spill != nil {
+			c.Elsewhere[name] = s.spill.share
+		}
+	}
 	for _, one := range t.servers {
 		c.Servers++
 		c.InFlight += one.inFlight
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -52,6 +52,10 @@
 	LoadAge time.Duration
 	// Reason says why the server was chosen or the request refused.
 	Reason string
+	// Cause is one of the causes of refusals, or "".
+	Cause string
+	// Cold says that the server is cold.
+	Cold bool
 	// Refused says that no server was given.
 	Refused bool
 	// RetryAfter is when a refused client should come back.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
@@ -20,6 +19,7 @@
 	"lovageyard.example/lovageyard/dispatch"
 	"lovageyard.example/lovageyard/entry"
 	"lovageyard.example/lovageyard/link"
+	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/platform"
 	"lovageyard.example/lovageyard/timer"
 )
@@ -120,7 +120,7 @@
 	table.SetCatalog(y.view.Snapshot)
 	return entry.NewHandler(entry.Parts{
 		Source: source{y.view}, Codec: platform.Headers{}, Sender: y.sender, Dispatch: table,
-		Timer: timer.Clock{}, Logger: logger, Metrics: metrics.NewRegistry(),
+		Timer: timer.Clock{}, Logger: logger, Metrics: meter.NewSet(),
 	})
 }
 
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"github.com/pkg/errors"
-	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/decision"
 	"lovageyard.example/lovageyard/dispatch"
 	"lovageyard.example/lovageyard/link"
+	"lovageyard.example/lovageyard/meter"
 )
 
 // Spans of requests.
@@ -46,7 +46,7 @@
 	x.service = x.handler.Dispatch.Arrive(x.route, x.began)
 	choice := x.choose()
 	if choice.Refused {
-		x.refuse(choice.Reason, choice.RetryAfter)
+		x.refuse(choice.Cause, choice.Reason, choice.RetryAfter, nil)
 		return
 	}
 	for {
@@ -56,8 +56,7 @@
 			return
 		}
 		choice = x.choose()
-		if choice.Refused || !x.handler.Dispatch.MayRepeat(x.service, x.handler.Timer.Now()) {
-			x.handler.Dispatch.Cancel(choice)
+		if !x.allowsRepeat(choice) {
 			x.finish(ctx, a)
 			return
 		}
@@ -65,6 +64,21 @@
 	}
 }
 
+// allowsRepeat says whether a repeat may go to a chosen server, and takes the choice back
+// if it may not.
+func (x *exchange) allowsRepeat(choice dispatch.Choice) bool {
+	if choice.Refused {
+		return false
+	}
+	if x.handler.Dispatch.MayRepeat(x.service, x.handler.Timer.Now()) {
+		x.handler.Metrics.Count(meter.Repeats, x.label())
+		return true
+	}
+	x.handler.Metrics.Count(meter.RepeatsDenied, x.label())
+	x.handler.Dispatch.Cancel(choice)
+	return false
+}
+
 // context returns the context of all attempts: it ends at the deadline, and when the
 // client leaves if the request may be given up without harm.
 func (x *exchange) context() (context.Context, context.CancelFunc) {
@@ -89,6 +103,7 @@
 // try makes one attempt and tells the dispatcher how it ended.
 func (x *exchange) try(ctx context.Context, choice dispatch.Choice) *attempt {
 	x.tried = append(x.tried, choice.Server.Name)
+	x.measure(choice)
 	began := x.handler.Timer.Now()
 	answer, err := x.handler.Sender.Send(ctx, x.outgoing(choice, began))
 	now := x.handler.Timer.Now()
@@ -109,6 +124,16 @@
 	return a
 }
 
+// measure counts an attempt.
+func (x *exchange) measure(choice dispatch.Choice) {
+	m := x.handler.Metrics
+	m.Count(meter.Sends, x.label(), choice.Server.FailureDomain)
+	m.Observe(meter.ExpectedWait, choice.Wait.Milliseconds(), x.label())
+	if choice.Cold {
+		m.Count(meter.ColdSends, x.label())
+	}
+}
+
 func (x *exchange) outgoing(choice dispatch.Choice, now time.Time) link.Request {
 	header := link.EndToEnd(x.request.Header)
 	x.handler.Codec.Outgoing(header, x.deadline.Sub(now), choice.Server.Name)
@@ -208,8 +233,7 @@
 	case x.failed != nil:
 		x.pass(x.failed)
 	case !x.ran:
-		x.log(logrus.InfoLevel, "refused", http.StatusServiceUnavailable, a.reason(), a)
-		x.fail(http.StatusServiceUnavailable, a.reason(), retrySoon)
+		x.refuse(causeNotReached, a.reason(), retrySoon, a)
 	case ctx.Err() != nil:
 		x.log(logrus.InfoLevel, "failed", http.StatusGatewayTimeout, a.reason(), a)
 		x.fail(http.StatusGatewayTimeout, a.reason(), 0)
@@ -225,8 +249,7 @@
 		x.reject(http.StatusBadRequest, "the server finds the request malformed")
 		return
 	}
-	x.log(logrus.InfoLevel, "refused", http.StatusServiceUnavailable, a.reason(), a)
-	x.fail(http.StatusServiceUnavailable, a.reason(), max(retrySoon, a.choice.Expected/2))
+	x.refuse(causeServer, a.reason(), max(retrySoon, a.choice.Expected/2), a)
 }
 
 // pass gives the client the server's whole answer.
@@ -254,12 +277,7 @@
 }
 
 func (x *exchange) observe() {
-	name := "latency." + x.service
-	sample := func() metrics.Histogram { return metrics.NewHistogram(metrics.NewExpDecaySample(1028, 0.015)) }
-	histogram := x.handler.Metrics.GetOrRegister(name, sample)
-	if known, ok := histogram.(metrics.Histogram); ok {
-		known.Update(x.handler.Timer.Now().Sub(x.began).Milliseconds())
-	}
+	x.handler.Metrics.Observe(meter.Latency, x.handler.Timer.Now().Sub(x.began).Milliseconds(), x.label())
 }
 
 // log writes the line of one decision.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -11,13 +11,13 @@
 	"time"
 
 	"github.com/pkg/errors"
-	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
 	"lovageyard.example/lovageyard/dispatch"
 	"lovageyard.example/lovageyard/link"
+	"lovageyard.example/lovageyard/meter"
 )
 
 // maxBody bounds the bodies of requests, which are read whole before they are sent, so
@@ -50,7 +50,7 @@
 	Dispatch *dispatch.Table
 	Timer    lovageyard.Timer
 	Logger   *logrus.Logger
-	Metrics  metrics.Registry
+	Metrics  *meter.Set
 }
 
 // Handler forwards callers' requests.
@@ -104,7 +104,7 @@
 // serve checks the request and runs it.
 func (x *exchange) serve() {
 	if x.view.Closing || x.view.Configuration == nil {
-		x.refuse("this instance takes no requests", retrySoon)
+		x.refuse(causeClosing, "this instance takes no requests", retrySoon, nil)
 		return
 	}
 	x.route = x.view.Match(x.request.Host, x.path())
@@ -170,9 +170,17 @@
 	x.fail(status, reason, 0)
 }
 
-// refuse ends a request that has not run and never will.
-func (x *exchange) refuse(reason string, retryAfter time.Duration) {
-	x.log(logrus.InfoLevel, "refused", http.StatusServiceUnavailable, reason, nil)
+// Causes of refusals, for metrics, besides those of the choice of a server.
+const (
+	causeClosing    = "closing"
+	causeServer     = "server"
+	causeNotReached = "not-reached"
+)
+
+// refuse ends a request that has not run and never will; a is the last attempt, or nil.
+func (x *exchange) refuse(cause, reason string, retryAfter time.Duration, a *attempt) {
+	x.log(logrus.InfoLevel, "refused", http.StatusServiceUnavailable, reason, a)
+	x.handler.Metrics.Count(meter.Refusals, x.label(), cause)
 	x.fail(http.StatusServiceUnavailable, reason, retryAfter)
 }
 
@@ -205,9 +213,13 @@
 }
 
 func (x *exchange) count(status int) {
-	route := "none"
-	if x.route != nil {
-		route = x.service
+	x.handler.Metrics.Count(meter.Answers, x.label(), strconv.Itoa(status))
+}
+
+// label returns what stands for the request's service in metrics.
+func (x *exchange) label() string {
+	if x.service == "" {
+		return "none"
 	}
-	metrics.GetOrRegisterCounter("answers."+route+"."+strconv.Itoa(status), x.handler.Metrics).Inc(1)
+	return x.service
 }
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -11,12 +11,12 @@
 	"time"
 
 	"github.com/pkg/errors"
-	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
 	"lovageyard.example/lovageyard/instance"
+	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/peer/wire"
 )
 
@@ -60,7 +60,7 @@
 	Follower  Follower
 	Timer     lovageyard.Timer
 	Logger    *logrus.Logger
-	Metrics   metrics.Registry
+	Metrics   *meter.Set
 	// Seeds are addresses of peers to ask before any other is known.
 	Seeds []string
 	Seed  uint64
@@ -359,6 +359,7 @@
 			return
 		}
 		// A write of which the outcome is not known may be made again.
+		c.settings.Metrics.Count(meter.PlatformWrites)
 		_, err := c.settings.Registrar.Transact(c.context, lovageyard.Transaction{Writes: []lovageyard.Write{write}})
 		if err == nil {
 			return
@@ -380,10 +381,6 @@
 	}
 }
 
-func (c *Control) counter(name string) metrics.Counter {
-	return metrics.GetOrRegisterCounter(name, c.settings.Metrics)
-}
-
 func isConflict(err error) bool {
 	var conflict *lovageyard.ConflictError
 	return errors.As(err, &conflict)
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -9,6 +9,7 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
+	"lovageyard.example/lovageyard/meter"
 )
 
 // Periods of the calls to the platform.
@@ -107,7 +108,7 @@
 
 func (m heard) apply(c *Control) {
 	now := c.settings.Timer.Now()
-	c.counter("platform.reads").Inc(1)
+	c.settings.Metrics.Count(meter.PlatformReads, m.table)
 	if m.err != nil {
 		c.feedFailed(m, now)
 		m.applied <- c.state.Cursor(m.table)
@@ -142,7 +143,7 @@
 }
 
 func (c *Control) feedFailed(m heard, now time.Time) {
-	c.counter("platform.failures").Inc(1)
+	c.settings.Metrics.Count(meter.PlatformFailures, m.table)
 	if errors.Is(m.err, lovageyard.ErrHistoryLost) {
 		return
 	}
@@ -190,6 +191,7 @@
 
 func (c *Control) removeRow(r lovageyard.Row) {
 	c.call("remove "+r.Key, func(ctx context.Context) message {
+		c.settings.Metrics.Count(meter.PlatformWrites)
 		_, err := c.settings.Registrar.Transact(ctx, lovageyard.Transaction{
 			Conditions: []lovageyard.Condition{{Table: r.Table, Key: r.Key, Version: r.Version}},
 			Writes:     []lovageyard.Write{{Table: r.Table, Key: r.Key, Delete: true}},
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -11,12 +11,12 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
-	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
 	"lovageyard.example/lovageyard/fleet"
+	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/peer/wire"
 	"lovageyard.example/lovageyard/platform"
 	"lovageyard.example/lovageyard/platform/fake"
@@ -119,7 +119,7 @@
 			CallerAddress: name + ":1", PeerAddress: name + ":2", State: lovageyard.StateLive,
 		},
 		Feed: feed, Registrar: registrar, Decoder: platform.Decoder{}, Peers: peers{network: g.network, self: name + ":2"},
-		Follower: follower{}, Timer: timer.Clock{}, Logger: quiet(), Metrics: metrics.NewRegistry(), Seeds: seeds, Seed: uint64(life),
+		Follower: follower{}, Timer: timer.Clock{}, Logger: quiet(), Metrics: meter.NewSet(), Seeds: seeds, Seed: uint64(life),
 	})
 	g.network.mu.Lock()
 	g.network.instances[name+":2"] = control
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -7,6 +7,7 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/instance"
+	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/peer"
 	"lovageyard.example/lovageyard/peer/wire"
 )
@@ -129,11 +130,11 @@
 
 func (m shared) apply(c *Control) {
 	if m.err != nil {
-		c.counter("peers.failures").Inc(1)
+		c.settings.Metrics.Count(meter.PeerFailures)
 		c.settings.Logger.WithError(m.err).Debug("a peer did not answer")
 		return
 	}
-	c.counter("peers.exchanges").Inc(1)
+	c.settings.Metrics.Count(meter.PeerExchanges)
 	now := c.settings.Timer.Now()
 	c.hear(m.reply.GetFrom(), m.reply.GetPulses(), now)
 	for _, t := range m.reply.GetChanges() {
@@ -201,6 +202,7 @@
 			Deleted: r.GetDeleted(),
 		})
 	}
+	c.settings.Metrics.Add(meter.PeerRows, len(changes.Rows), t.GetTable())
 	applied, faults := c.state.ApplyChanges(t.GetTable(), changes, now)
 	c.logFaults(faults)
 	if applied && len(changes.Rows) > 0 {
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
@@ -22,6 +21,7 @@
 	"lovageyard.example/lovageyard/entry"
 	"lovageyard.example/lovageyard/fleet"
 	"lovageyard.example/lovageyard/link"
+	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/peer"
 	"lovageyard.example/lovageyard/peer/wire"
 	"lovageyard.example/lovageyard/platform"
@@ -54,7 +54,7 @@
 	logger   *logrus.Logger
 	sink     *decision.Sink
 	timer    lovageyard.Timer
-	registry metrics.Registry
+	meters   *meter.Set
 	store    *platform.Store
 	peers    *peer.Client
 	link     *link.Link
@@ -62,6 +62,9 @@
 	control  *fleet.Control
 	callers  *http.Server
 	others   []*http.Server
+	// version is the configuration's version at the last look, in force since versionSince.
+	version      uint64
+	versionSince time.Time
 }
 
 // runEdge serves until SIGTERM; SIGHUP reads the settings anew.
@@ -119,7 +122,7 @@
 	// Hooks run in this order: the name is added before the line is made.
 	logger.AddHook(nameHook{instance: o.Instance})
 	sink.Attach(logger)
-	e := &edge{options: o, logger: logger, sink: sink, timer: clock, registry: metrics.NewRegistry()}
+	e := &edge{options: o, logger: logger, sink: sink, timer: clock, meters: meter.NewSet()}
 	e.assemble(self)
 	e.control.Start()
 	e.serveAll(sockets)
@@ -157,7 +160,7 @@
 		Follower:  e.dispatch,
 		Timer:     e.timer,
 		Logger:    e.logger,
-		Metrics:   e.registry,
+		Metrics:   e.meters,
 		Seeds:     o.PeerAddresses,
 		Seed:      uint64(self.Life),
 	})
@@ -213,7 +216,7 @@
 		Dispatch: e.dispatch,
 		Timer:    e.timer,
 		Logger:   e.logger,
-		Metrics:  e.registry,
+		Metrics:  e.meters,
 	}))
 	e.serve(s.callers, e.callers)
 	e.serveOther(s.ready, &entry.Readiness{Source: e.control})
@@ -250,23 +253,30 @@
 
 // measure updates the gauges.
 func (e *edge) measure(now time.Time) {
+	view := e.control.View()
+	if version := view.Version(); version != e.version {
+		e.version = version
+		e.versionSince = now
+	}
 	census := e.dispatch.Census(now)
 	dropped := e.sink.Dropped()
-	for name, value := range map[string]int64{
-		"connections.opened":  e.link.Opened(),
-		"servers.known":       int64(census.Servers),
-		"servers.suspect":     int64(census.Suspects),
-		"requests.in-flight":  int64(census.InFlight),
-		"log.dropped.routine": dropped.Routine,
-		"log.dropped.other":   dropped.Other,
-	} {
-		metrics.GetOrRegisterGauge(name, e.registry).Update(value)
+	e.meters.Update(meter.Connections, e.link.Opened())
+	e.meters.Update(meter.ServersKnown, int64(census.Servers))
+	e.meters.Update(meter.ServersSuspect, int64(census.Suspects))
+	e.meters.Update(meter.InFlight, int64(census.InFlight))
+	e.meters.Update(meter.ConfigurationNow, int64(view.Version()))
+	e.meters.Update(meter.ConfigurationAge, now.Sub(e.versionSince).Milliseconds())
+	e.meters.Update(meter.InstancesLive, int64(len(view.Live)))
+	e.meters.Update(meter.LogDroppedRoutine, dropped.Routine)
+	e.meters.Update(meter.LogDroppedOther, dropped.Other)
+	for service, share := range census.Elsewhere {
+		e.meters.Update(meter.ShareElsewhere, int64(1000*share), service)
 	}
 }
 
 func (e *edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	metrics.WriteOnce(e.registry, w)
+	e.meters.Write(w)
 }
 
 // leave takes the instance out of look-ups, serves on while callers may still hold an
--- a/lovageyardd/main.go
+++ b/lovageyardd/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/platform"
 	"lovageyard.example/lovageyard/settings"
 )
@@ -18,6 +19,8 @@
 type commands struct {
 	Serve options     `cmd:"" default:"withargs" help:"Serve with operators' classes and placement plans (the default)."`
 	Edge  edgeOptions `cmd:"" help:"Serve on a platform that holds routes, servers and drains and tells of their changes."`
+	// Metrics has no settings.
+	Metrics struct{} `cmd:"" help:"Print the page of the metrics of edge."`
 }
 
 const (
@@ -30,9 +33,12 @@
 	var c commands
 	parsed := settings.Parse(programName, prefix, programAbout, &c, fileOptions()...)
 	var err error
-	if strings.HasPrefix(parsed.Command(), "edge") {
+	switch command, _, _ := strings.Cut(parsed.Command(), " "); command {
+	case "edge":
 		err = runEdge(c.Edge)
-	} else {
+	case "metrics":
+		fmt.Print(meter.Page())
+	default:
 		err = run(c.Serve)
 	}
 	if err != nil {
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,161 @@
+package meter
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// Kind says how a metric is read.
+type Kind string
+
+// The kinds of metrics.
+const (
+	Counter   Kind = "counter"
+	Gauge     Kind = "gauge"
+	Histogram Kind = "histogram"
+)
+
+// Metric describes one metric.
+type Metric struct {
+	Name string
+	Kind Kind
+	// Labels are what the parts behind the name stand for.
+	Labels []string
+	// Help says what is counted, with its unit.
+	Help string
+}
+
+// The metrics of an entry instance.
+var (
+	Answers           = Metric{"answers", Counter, []string{"service", "status"}, "answers to callers; the service is none if no route matched"}
+	Refusals          = Metric{"refusals", Counter, []string{"service", "cause"}, "requests refused as not run"}
+	Latency           = Metric{"latency", Histogram, []string{"service"}, "milliseconds from a request's arrival to a server's answer"}
+	ExpectedWait      = Metric{"expected-wait", Histogram, []string{"service"}, "milliseconds that a request was expected to wait for a slot as it was sent"}
+	Sends             = Metric{"sends", Counter, []string{"service", "failure-domain"}, "attempts sent to servers"}
+	Repeats           = Metric{"repeats", Counter, []string{"service"}, "attempts after the first of a request"}
+	RepeatsDenied     = Metric{"repeats-denied", Counter, []string{"service"}, "repeats that the shared budget did not allow"}
+	ColdSends         = Metric{"cold-sends", Counter, []string{"service"}, "attempts sent to servers that are cold"}
+	ShareElsewhere    = Metric{"share-elsewhere", Gauge, []string{"service"}, "thousandths of the region's requests that run in other regions"}
+	InFlight          = Metric{"requests-in-flight", Gauge, nil, "attempts at servers"}
+	ServersKnown      = Metric{"servers-known", Gauge, nil, "backend servers that are registered"}
+	ServersSuspect    = Metric{"servers-suspect", Gauge, nil, "backend servers that are left alone as they did not answer"}
+	Connections       = Metric{"connections-opened", Gauge, nil, "connections to servers opened since the start"}
+	ConfigurationNow  = Metric{"configuration-version", Gauge, nil, "version of the configuration in force"}
+	ConfigurationAge  = Metric{"configuration-age", Gauge, nil, "milliseconds since the configuration came into force"}
+	InstancesLive     = Metric{"instances-live", Gauge, nil, "entry instances that are believed to take work"}
+	PlatformReads     = Metric{"platform-reads", Counter, []string{"table"}, "calls that read the platform"}
+	PlatformFailures  = Metric{"platform-failures", Counter, []string{"table"}, "calls that failed, lost history left out"}
+	PlatformWrites    = Metric{"platform-writes", Counter, nil, "transactions on instances' rows"}
+	PeerExchanges     = Metric{"peer-exchanges", Counter, nil, "exchanges with other instances that were answered"}
+	PeerFailures      = Metric{"peer-failures", Counter, nil, "exchanges with other instances that failed"}
+	PeerRows          = Metric{"peer-rows", Counter, []string{"table"}, "rows of the platform heard from other instances"}
+	LogDroppedRoutine = Metric{"log-dropped-routine", Gauge, nil, "log lines on requests that went well, dropped since the start"}
+	LogDroppedOther   = Metric{"log-dropped-other", Gauge, nil, "other log lines dropped since the start"}
+)
+
+// All lists the metrics in the order of the page.
+func All() []Metric {
+	return []Metric{
+		Answers, Refusals, Latency, ExpectedWait, Sends, Repeats, RepeatsDenied, ColdSends, ShareElsewhere, InFlight,
+		ServersKnown, ServersSuspect, Connections, ConfigurationNow, ConfigurationAge, InstancesLive,
+		PlatformReads, PlatformFailures, PlatformWrites, PeerExchanges, PeerFailures, PeerRows,
+		LogDroppedRoutine, LogDroppedOther,
+	}
+}
+
+const (
+	// maxSeries bounds the values of one metric: a large configuration has some tens of
+	// services, with a dozen statuses or failure domains each.
+	maxSeries = 500
+	// others stands for the labels that came after that.
+	others = "others"
+	// Size and decay of the sample behind a histogram, as go-metrics suggests.
+	sampleSize  = 1028
+	sampleDecay = 0.015
+)
+
+// Set keeps the values of all metrics; its methods may be called from several goroutines.
+type Set struct {
+	registry metrics.Registry
+
+	mu     sync.Mutex
+	series map[string]map[string]bool
+}
+
+// NewSet returns a set without values.
+func NewSet() *Set {
+	return &Set{registry: metrics.NewRegistry(), series: make(map[string]map[string]bool)}
+}
+
+// Count adds one to a counter.
+func (s *Set) Count(m Metric, labels ...string) {
+	metrics.GetOrRegisterCounter(s.name(m, labels), s.registry).Inc(1)
+}
+
+// Add adds a number to a counter.
+func (s *Set) Add(m Metric, n int, labels ...string) {
+	metrics.GetOrRegisterCounter(s.name(m, labels), s.registry).Inc(int64(n))
+}
+
+// Update sets a gauge.
+func (s *Set) Update(m Metric, value int64, labels ...string) {
+	metrics.GetOrRegisterGauge(s.name(m, labels), s.registry).Update(value)
+}
+
+// Observe adds a value to a histogram.
+func (s *Set) Observe(m Metric, value int64, labels ...string) {
+	name := s.name(m, labels)
+	known := s.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	})
+	if histogram, ok := known.(metrics.Histogram); ok {
+		histogram.Update(value)
+	}
+}
+
+// name returns the name of a value; the labels of too many become one.
+func (s *Set) name(m Metric, labels []string) string {
+	if len(labels) == 0 {
+		return m.Name
+	}
+	joined := strings.Join(labels, ".")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.series[m.Name]
+	if known == nil {
+		known = make(map[string]bool)
+		s.series[m.Name] = known
+	}
+	if !known[joined] {
+		if len(known) >= maxSeries {
+			joined = others
+		}
+		known[joined] = true
+	}
+	return m.Name + "." + joined
+}
+
+// Write writes all values as text.
+func (s *Set) Write(w io.Writer) {
+	metrics.WriteOnce(s.registry, w)
+}
+
+// Page returns the table of all metrics in Markdown.
+func Page() string {
+	var page strings.Builder
+	page.WriteString("# Metrics\n\nMade by `scripts/metrics` from the package `meter`. Text at the metrics address, path `/metrics`.\n")
+	fmt.Fprintf(&page, "A metric has at most %d values; further labels count as `%s`.\n\n", maxSeries, others)
+	page.WriteString("| name | kind | counts |\n|---|---|---|\n")
+	for _, m := range All() {
+		name := m.Name
+		for _, label := range m.Labels {
+			name += "." + strings.ToUpper(label)
+		}
+		fmt.Fprintf(&page, "| `%s` | %s | %s |\n", name, m.Kind, m.Help)
+	}
+	return page.String()
+}
