The soak excuses only what a fault harms, and counts faults and what it judged

Change: a cut is excused by faults of its own instance only, a late version by these and the store's, late work for a server that left by those of any instance or the store. Counts of faults by kind, and of what was judged and excused, stand in the report.

--- a/soak/check.go
+++ b/soak/check.go
@@ -2,14 +2,15 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
 
 // Bounds that are checked, with room for a busy machine.
 const (
-	// quietBefore is how long before an event no fault may have been under way for a bound
-	// in time to hold; a pause of the whole machine would break any bound.
+	// quietBefore is how long before an event nothing that counts for a bound in time may have
+	// been harmed; a pause of the whole machine would break any bound.
 	quietBefore = 5 * time.Second
 	// leaveBound is the time after which a server or failure domain that leaves gets nothing.
 	leaveBound = 4 * time.Second
@@ -42,21 +43,30 @@
 
 // checker holds what callers and servers saw against the promises.
 type checker struct {
-	mu         sync.Mutex
-	unsafe     map[string]bool
-	ran        map[string]int
-	refused    map[string]bool
-	leftAt     map[string]time.Time
-	domainOf   map[string]string
-	drainedAt  map[string]time.Time
-	disturbed  []span
+	mu        sync.Mutex
+	unsafe    map[string]bool
+	ran       map[string]int
+	refused   map[string]bool
+	leftAt    map[string]time.Time
+	domainOf  map[string]string
+	drainedAt map[string]time.Time
+	disturbed []harm
+	// nameOf names the instance that has, or had, an address.
+	nameOf     map[string]string
 	served     map[string]uint64
 	violations []string
 	counts     map[string]int
 }
 
-// span is a time in which something is under way; an open one has no end yet.
-type span struct {
+// What a fault harms, besides a single instance, which is called by its name.
+const (
+	harmsStore   = "store"
+	harmsServers = "servers"
+)
+
+// harm is a time in which something is harmed.
+type harm struct {
+	what     string
 	from, to time.Time
 }
 
@@ -69,6 +79,7 @@
 		domainOf:  make(map[string]string),
 		drainedAt: make(map[string]time.Time),
 		served:    make(map[string]uint64),
+		nameOf:    make(map[string]string),
 		counts:    make(map[string]int),
 	}
 }
@@ -81,23 +92,56 @@
 	}
 }
 
-// Disturb notes a fault for the time it lasts.
-func (c *checker) Disturb(from, to time.Time) {
+// Disturb notes what a fault harms for the time it lasts.
+func (c *checker) Disturb(what string, from, to time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.disturbed = append(c.disturbed, harm{what, from, to})
+}
+
+// Name notes the address of an instance.
+func (c *checker) Name(address, instance string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.disturbed = append(c.disturbed, span{from, to})
+	c.nameOf[address] = instance
 }
 
-// quiet says whether no fault was under way in a time; the caller holds the lock.
-func (c *checker) quiet(from, to time.Time) bool {
+// quiet says whether nothing that counts was harmed in a time, and counts how often it was
+// asked; the caller holds the lock.
+func (c *checker) quiet(check string, from, to time.Time, counts func(what string) bool) bool {
 	for _, d := range c.disturbed {
-		if d.from.Before(to) && d.to.After(from) {
+		if counts(d.what) && d.from.Before(to) && d.to.After(from) {
+			c.counts["excused "+check]++
 			return false
 		}
 	}
+	c.counts["judged "+check]++
 	return true
 }
 
+// harmsSteering says whether a fault may keep some instance from hearing of a change; which
+// instance sent a request can't be seen at a server.
+func harmsSteering(what string) bool {
+	return what != harmsServers
+}
+
+// harmsInstance returns what says whether a fault harms one instance itself.
+func harmsInstance(name string) func(string) bool {
+	return func(what string) bool { return what == name }
+}
+
+// harmsHearing returns what says whether a fault keeps one instance from hearing of a change.
+func harmsHearing(name string) func(string) bool {
+	return func(what string) bool { return what == name || what == harmsStore }
+}
+
+// Count counts a fault or planned work that is played.
+func (c *checker) Count(k kind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts["played "+string(k)]++
+}
+
 // Send notes a request before it is sent.
 func (c *checker) Send(id string, unsafe bool) {
 	c.mu.Lock()
@@ -114,13 +158,17 @@
 	if _, known := c.unsafe[id]; !known {
 		c.violate("server %s got %s, which nobody sent", server, id)
 	}
-	if !c.quiet(now.Add(-quietBefore-leaveBound), now) {
+	left, leaves := c.leftAt[server]
+	drained, drains := c.drainedAt[c.domainOf[server]]
+	leaves = leaves && now.Sub(left) > leaveBound
+	drains = drains && now.Sub(drained) > leaveBound
+	if !leaves && !drains || !c.quiet("arrivals after leaving", now.Add(-quietBefore-leaveBound), now, harmsSteering) {
 		return
 	}
-	if left, found := c.leftAt[server]; found && now.Sub(left) > leaveBound {
+	if leaves {
 		c.violate("server %s got %s %s after it left", server, id, now.Sub(left))
 	}
-	if drained, found := c.drainedAt[c.domainOf[server]]; found && now.Sub(drained) > leaveBound {
+	if drains {
 		c.violate("server %s got %s %s after its failure domain was drained", server, id, now.Sub(drained))
 	}
 }
@@ -158,8 +206,9 @@
 			c.violate("%s was refused as not run by %s, but has run", o.ID, o.Instance)
 		}
 	}
-	if o.Status == 0 && o.Sent && c.ran[o.ID] > 0 && c.quiet(o.Began.Add(-quietBefore), o.At) {
-		c.violate("%s was cut at %s with no fault under way", o.ID, o.Instance)
+	judged := c.quiet("requests for cuts", o.Began.Add(-quietBefore), o.At, harmsInstance(c.nameOf[o.Instance]))
+	if judged && o.Status == 0 && o.Sent && c.ran[o.ID] > 0 {
+		c.violate("%s was cut at %s, which no fault harmed", o.ID, o.Instance)
 	}
 }
 
@@ -200,7 +249,12 @@
 		}
 		c.served[life] = max(c.served[life], version)
 	}
-	if status == 404 && now.Sub(accepted) > applyBound && c.quiet(accepted.Add(-quietBefore), now) {
+	name, _, _ := strings.Cut(life, "/")
+	if now.Sub(accepted) <= applyBound {
+		return
+	}
+	judged := c.quiet("probes of versions", accepted.Add(-quietBefore), now, harmsHearing(name))
+	if judged && status == 404 {
 		c.violate("%s does not apply version %d %s after it was accepted", life, version, now.Sub(accepted))
 	}
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -71,20 +71,31 @@
 	}
 }
 
-// Bounds in time are not held against the system while a fault is under way.
-func TestCheckerExcusesFaults(t *testing.T) {
-	c := qt.New(t)
-	checks := newChecker()
+// A bound in time is not held against what a fault harms, and only there.
+func TestCheckerExcusesWhatAFaultHarms(t *testing.T) {
 	now := time.Now()
-	checks.Disturb(now.Add(-time.Second), now.Add(time.Second))
-	checks.Send("x", false)
-	checks.leftAt["s"] = now.Add(-time.Minute)
-	checks.Arrived("s", "x")
-	checks.Ran("s", "x")
-	checks.Ended(outcome{ID: "x", Sent: true, Began: now, At: now})
-	checks.Probed("entry/1", 5, 404, now.Add(-time.Minute))
-	violations, _ := checks.Result()
-	c.Assert(violations, qt.HasLen, 0)
+	for _, test := range []struct {
+		harmed string
+		// broken are the promises that still count, of a cut and a late version at entry-1
+		// and of work for a server that left.
+		broken int
+	}{
+		{"entry-1", 0}, {"entry-2", 2}, {harmsStore, 1}, {harmsServers, 3},
+	} {
+		t.Run(test.harmed, func(t *testing.T) {
+			checks := newChecker()
+			checks.Name("127.0.0.1:1", "entry-1")
+			checks.Disturb(test.harmed, now.Add(-time.Second), now.Add(time.Second))
+			checks.Send("x", false)
+			checks.leftAt["s"] = now.Add(-time.Minute)
+			checks.Arrived("s", "x")
+			checks.Ran("s", "x")
+			checks.Ended(outcome{ID: "x", Instance: "127.0.0.1:1", Sent: true, Began: now, At: now})
+			checks.Probed("entry-1/3", 5, 404, now.Add(-time.Minute))
+			violations, _ := checks.Result()
+			qt.Assert(t, violations, qt.HasLen, test.broken)
+		})
+	}
 }
 
 func TestPlanIsMadeAgainFromItsSeed(t *testing.T) {
--- a/soak/yard.go
+++ b/soak/yard.go
@@ -87,6 +87,7 @@
 		if err := i.start(y.seeds()); err != nil {
 			return y, err
 		}
+		check.Name(i.place().caller, i.name)
 	}
 	return y, nil
 }
@@ -177,19 +178,32 @@
 // play begins one fault and ends it when its time is over.
 func (y *yard) play(f fault) {
 	began := time.Now()
+	what := y.harmed(f)
 	if !f.Kind.isPlanned() {
-		y.check.Disturb(began, began.Add(f.For+faultTail))
+		y.check.Disturb(what, began, began.Add(f.For+faultTail))
 	}
+	y.check.Count(f.Kind)
 	y.faults.Go(func() {
 		if err := y.inject(f); err != nil {
 			y.problem(err)
 		}
 		if late := time.Since(began) - f.For - faultTail; late > 0 && !f.Kind.isPlanned() {
-			y.check.Disturb(began, time.Now())
+			y.check.Disturb(what, began, time.Now())
 		}
 	})
 }
 
+// harmed says what a fault harms.
+func (y *yard) harmed(f fault) string {
+	switch f.Kind {
+	case pauseInstance, killInstance, cutFromStore:
+		return y.instances[f.Target%len(y.instances)].name
+	case storeDown, storeSilent, storeSlow, storeLost, storeLate, storeForgets:
+		return harmsStore
+	}
+	return harmsServers
+}
+
 func (y *yard) problem(err error) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
@@ -266,6 +280,7 @@
 	if again := i.start(y.seeds()); again != nil {
 		return again
 	}
+	y.check.Name(i.place().caller, i.name)
 	return err
 }
 
