A server that fails most is left alone; one lost answer among others is no reason

Cause: a server that is well by its entry and fails all that it gets stayed the home of its objects: its failures only made work leave the region slowly. And a single lost answer made a server suspect although it had answered others since, which moved its objects. Change: suspicion follows a share of failures above 0.6 (five in a row), refusals left out; an attempt without an answer counts only if the server has answered nothing since it was sent.

--- a/dispatch/choose_test.go
+++ b/dispatch/choose_test.go
@@ -140,6 +140,55 @@
 	y.c.Assert(y.choose("k").Server.Name, qt.Equals, first.Server.Name)
 }
 
+// One lost answer does not speak against a server that has answered others since.
+func TestServerThatAnswersOthersIsNotLeftAlone(t *testing.T) {
+	y := newYard(t)
+	lost, other := y.choose("k"), y.choose("k")
+	y.c.Assert(other.Server.Name, qt.Equals, lost.Server.Name)
+	y.now = y.now.Add(100 * time.Millisecond)
+	y.done(other, dispatch.Outcome{Answered: true})
+	y.now = y.now.Add(100 * time.Millisecond)
+	y.done(lost, dispatch.Outcome{Failed: true})
+	y.c.Assert(y.choose("k").Server.Name, qt.Equals, lost.Server.Name)
+}
+
+// A server may be well by its entry and fail nearly all that it gets.
+func TestServerThatFailsMostIsLeftAlone(t *testing.T) {
+	y := newYard(t)
+	ill := y.choose("k")
+	name := ill.Server.Name
+	const patience = 10
+	failed := 0
+	for ; ill.Server.Name == name; ill = y.choose("k") {
+		y.done(ill, dispatch.Outcome{Answered: true, Failed: true})
+		failed++
+		y.c.Assert(failed < patience, qt.IsTrue)
+		y.now = y.now.Add(50 * time.Millisecond)
+	}
+	y.c.Assert(ill.Server.Region, qt.Equals, "east")
+	y.done(ill, dispatch.Outcome{Answered: true})
+
+	// It is tried again later, and trusted once it serves.
+	y.now = y.now.Add(time.Minute)
+	again := y.choose("k")
+	y.c.Assert(again.Server.Name, qt.Equals, name)
+	y.done(again, dispatch.Outcome{Answered: true})
+	y.c.Assert(y.choose("k").Server.Name, qt.Equals, name)
+}
+
+// A server that is full refuses what it can't take; that is no illness.
+func TestServerThatRefusesIsNotLeftAlone(t *testing.T) {
+	y := newYard(t)
+	home := y.choose("k")
+	for range 10 {
+		y.done(home, dispatch.Outcome{Answered: true, Failed: true, NotRun: true})
+		y.now = y.now.Add(50 * time.Millisecond)
+		next := y.choose("k")
+		y.c.Assert(next.Server.Name, qt.Equals, home.Server.Name)
+		home = next
+	}
+}
+
 func TestAbandonedAttemptDoesNotSpeakAgainstTheServer(t *testing.T) {
 	y := newYard(t)
 	first := y.choose("k")
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -34,6 +34,9 @@
 	// stallMeans is how many mean works a server may go without any answer while it has requests.
 	stallMeans = 4
 	leastStall = 700 * time.Millisecond
+	// illShare is the share of failures above which a server is left alone for a while: five
+	// failures in a row, far above the tenth or so of a server that fails now and then.
+	illShare = 0.6
 )
 
 // server is one backend server as this instance judges it.
@@ -53,8 +56,10 @@
 	suspect    time.Time
 	// busySince is when the server last answered, or got its first request since.
 	busySince time.Time
-	gone      bool
-	cold      coldGate
+	// answeredAt is when the server last answered.
+	answeredAt time.Time
+	gone       bool
+	cold       coldGate
 }
 
 func newServer(s catalog.Server) *server {
@@ -141,7 +146,12 @@
 	s.failures += failureWeight * (sample - s.failures)
 }
 
-// strike notes that the server did not answer.
+// isIll says whether the server fails most of what it gets.
+func (s *server) isIll() bool {
+	return s.failures > illShare
+}
+
+// strike notes that the server did not answer, or that it is ill.
 func (s *server) strike(now time.Time) {
 	s.suspect = now.Add(min(longestSuspicion, firstSuspicion<<min(s.strikes, 5)))
 	s.strikes++
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -260,11 +260,18 @@
 	case o.Abandoned:
 	case !o.Answered:
 		s.learnFailure(true)
-		s.strike(o.At)
+		if s.isIll() || !s.answeredAt.After(c.sentAt) {
+			s.strike(o.At)
+		}
 	default:
-		s.strikes = 0
+		s.answeredAt = o.At
 		s.busySince = o.At
 		s.learnFailure(o.Failed || o.NotRun)
+		if o.Failed && !o.NotRun && s.isIll() {
+			s.strike(o.At)
+		} else {
+			s.strikes = 0
+		}
 		t.learnWork(c, o)
 	}
 }
