The soak checks the bound on cold servers and the budget of repeats

Both hold over all instances whatever happens to them, so that nothing excuses them. Each has a test that trips it.

--- a/soak/check.go
+++ b/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,6 +17,9 @@
 	leaveBound = 4 * time.Second
 	// applyBound is the time after which an instance applies a configuration.
 	applyBound = 5 * time.Second
+	// coldWindow and retryWindow are the spans of the bounds on cold servers and on repeats.
+	coldWindow  = time.Second
+	retryWindow = 10 * time.Second
 	// maxViolations bounds what is reported.
 	maxViolations = 50
 )
@@ -51,6 +55,14 @@
 	domainOf  map[string]string
 	drainedAt map[string]time.Time
 	disturbed []harm
+	// coldUntil is until when a server that has joined is cold, and coldArrivals when it got work.
+	coldUntil    map[string]time.Time
+	coldArrivals map[string][]time.Time
+	// arrived counts the arrivals of each request; sends and repeats are the times of requests
+	// and of arrivals beyond the first in the last retryWindow.
+	arrived map[string]int
+	sends   []time.Time
+	repeats []time.Time
 	// nameOf names the instance that has, or had, an address.
 	nameOf     map[string]string
 	served     map[string]uint64
@@ -72,15 +84,18 @@
 
 func newChecker() *checker {
 	return &checker{
-		unsafe:    make(map[string]bool),
-		ran:       make(map[string]int),
-		refused:   make(map[string]bool),
-		leftAt:    make(map[string]time.Time),
-		domainOf:  make(map[string]string),
-		drainedAt: make(map[string]time.Time),
-		served:    make(map[string]uint64),
-		nameOf:    make(map[string]string),
-		counts:    make(map[string]int),
+		unsafe:       make(map[string]bool),
+		ran:          make(map[string]int),
+		refused:      make(map[string]bool),
+		leftAt:       make(map[string]time.Time),
+		domainOf:     make(map[string]string),
+		drainedAt:    make(map[string]time.Time),
+		served:       make(map[string]uint64),
+		nameOf:       make(map[string]string),
+		coldUntil:    make(map[string]time.Time),
+		coldArrivals: make(map[string][]time.Time),
+		arrived:      make(map[string]int),
+		counts:       make(map[string]int),
 	}
 }
 
@@ -148,6 +163,47 @@
 	defer c.mu.Unlock()
 	c.unsafe[id] = unsafe
 	c.counts["sent"]++
+	c.sends = append(within(c.sends, retryWindow, time.Now()), time.Now())
+}
+
+// within drops the times that lie further back than a span.
+func within(times []time.Time, span time.Duration, now time.Time) []time.Time {
+	return slices.DeleteFunc(times, func(at time.Time) bool { return now.Sub(at) > span })
+}
+
+// Joined notes that a server has just started, and is cold.
+func (c *checker) Joined(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.coldUntil[server] = time.Now().Add(coldFor)
+}
+
+// checkCold checks the bound on requests to a cold server, which holds over all instances,
+// whatever happens to them; the caller holds the lock.
+func (c *checker) checkCold(server, id string, now time.Time) {
+	if !now.Before(c.coldUntil[server]) {
+		return
+	}
+	arrivals := append(within(c.coldArrivals[server], coldWindow, now), now)
+	c.coldArrivals[server] = arrivals
+	c.counts["judged arrivals while cold"]++
+	if most := coldRate*coldExcess + coldSlack; len(arrivals) > int(most) {
+		c.violate("cold server %s got %s, request %d in %s", server, id, len(arrivals), coldWindow)
+	}
+}
+
+// checkRepeats checks the budget of repeats that all instances share; the caller holds the lock.
+func (c *checker) checkRepeats(server, id string, now time.Time) {
+	c.arrived[id]++
+	if c.arrived[id] < 2 {
+		return
+	}
+	c.counts["repeats"]++
+	c.repeats = append(within(c.repeats, retryWindow, now), now)
+	c.sends = within(c.sends, retryWindow, now)
+	if most := retryRatio*float64(len(c.sends)) + retrySlack; float64(len(c.repeats)) > most {
+		c.violate("server %s got %s again, repeat %d in %s with %d requests", server, id, len(c.repeats), retryWindow, len(c.sends))
+	}
 }
 
 // Arrived checks that a server that left, or whose failure domain is drained, gets nothing.
@@ -158,6 +214,8 @@
 	if _, known := c.unsafe[id]; !known {
 		c.violate("server %s got %s, which nobody sent", server, id)
 	}
+	c.checkCold(server, id, now)
+	c.checkRepeats(server, id, now)
 	left, leaves := c.leftAt[server]
 	drained, drains := c.drainedAt[c.domainOf[server]]
 	leaves = leaves && now.Sub(left) > leaveBound
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -51,6 +52,22 @@
 			c.drainedAt["d"] = time.Now().Add(-time.Minute)
 			c.Arrived("s", "x")
 		}},
+		{"too much for a cold server", ".*request 41 in 1s", func(c *checker) {
+			c.Joined("s")
+			for i := range 41 {
+				id := fmt.Sprint(i)
+				c.Send(id, false)
+				c.Arrived("s", id)
+			}
+		}},
+		{"too many repeats", ".*repeat 52 in 10s with 5 requests", func(c *checker) {
+			for i := range 5 {
+				c.Send(fmt.Sprint(i), false)
+			}
+			for range 53 {
+				c.Arrived("s", "0")
+			}
+		}},
 		{"a configuration that goes back", ".*went back.*", func(c *checker) {
 			c.Probed("entry/1", 5, 200, time.Now())
 			c.Probed("entry/1", 4, 200, time.Now())
--- a/soak/process.go
+++ b/soak/process.go
@@ -57,7 +57,8 @@
 		"--regions", "north-1=north,north-2=north,south-1=south,south-2=south",
 		"--caller-address", "127.0.0.1:0", "--ready-address", "127.0.0.1:0", "--look-up-address", "127.0.0.1:0",
 		"--peer-address", "127.0.0.1:0", "--platform-address", i.store, "--keep-for", "1s", "--leave-within", "6s",
-		"--retry-slack", "50", "--cold-excess", "1.5", "--cold-slack", "10",
+		"--retry-ratio", fmt.Sprint(retryRatio), "--retry-slack", fmt.Sprint(retrySlack),
+		"--cold-excess", fmt.Sprint(coldExcess), "--cold-slack", fmt.Sprint(coldSlack),
 	}
 	if len(seeds) > 0 {
 		arguments = append(arguments, "--peer-addresses", strings.Join(seeds, ","))
--- a/soak/yard.go
+++ b/soak/yard.go
@@ -19,12 +19,21 @@
 
 // Sizes of a deployment.
 const (
-	service       = "desk"
-	serverSlots   = 4
-	serverWork    = 20 * time.Millisecond
-	serverStay    = 6 * time.Second
-	restartAfter  = 200 * time.Millisecond
-	faultTail     = 2 * time.Second
+	service      = "desk"
+	serverSlots  = 4
+	serverWork   = 20 * time.Millisecond
+	serverStay   = 6 * time.Second
+	restartAfter = 200 * time.Millisecond
+	faultTail    = 2 * time.Second
+	// What a cold server bears, and for how long.
+	coldFor  = time.Second
+	coldRate = 20
+	// Bounds that the instances are set to.
+	coldExcess = 1.5
+	coldSlack  = 10
+	retryRatio = 0.2
+	retrySlack = 50
+
 	requestHost   = "calls.example"
 	lookUpPrefix  = "/look/"
 	chargePrefix  = "/charge/"
@@ -129,7 +138,7 @@
 			route("look", lookUpPrefix, true), route("charge", chargePrefix, false),
 			route("version", fmt.Sprintf(versionPrefix, y.version), true),
 		},
-		Services:     map[string]lovageyard.Service{service: {Name: service, HealthPath: "/health", MaxConnections: 400, ColdFor: time.Second, ColdRate: 20}},
+		Services:     map[string]lovageyard.Service{service: {Name: service, HealthPath: "/health", MaxConnections: 400, ColdFor: coldFor, ColdRate: coldRate}},
 		MaxBodyBytes: 1 << 20,
 	})
 	y.accepted = time.Now()
@@ -158,6 +167,9 @@
 	}
 	server.Address = proxy.Listen
 	y.check.Place(server.Name, domain)
+	if len(y.instances) > 0 {
+		y.check.Joined(server.Name)
+	}
 	y.store.PutServer(server.BackendServer)
 	y.servers = append(y.servers, &backend{Server: server, proxy: proxy})
 	return nil
