--- a/control/control.go
+++ b/control/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +13,7 @@
 	"lovageyard.example/lovageyard/block"
 	"lovageyard.example/lovageyard/class"
 	"lovageyard.example/lovageyard/configuration"
+	"lovageyard.example/lovageyard/inbox"
 	"lovageyard.example/lovageyard/instance"
 	"lovageyard.example/lovageyard/peer/wire"
 	"lovageyard.example/lovageyard/placement"
@@ -75,12 +75,8 @@
 // Control runs the control loop of one entry instance.
 type Control struct {
 	settings Settings
-	inbox    chan message
+	inbox    *inbox.Inbox[*Control]
 	snapshot atomic.Pointer[route.Snapshot]
-	cancel   context.CancelFunc
-	context  context.Context
-	loop     sync.WaitGroup
-	calls    sync.WaitGroup
 
 	// All below belongs to the loop's goroutine.
 	self    instance.Member
@@ -101,7 +97,6 @@
 	marks     map[poolServer]lovageyard.InstanceState
 	reports   map[string]*report
 	planners  map[string]*planner
-	busy      map[string]bool
 	due       map[string]time.Time
 	random    *rand.Rand
 	dirty     bool
@@ -111,9 +106,7 @@
 }
 
 // message is a typed message to the loop.
-type message interface {
-	apply(c *Control)
-}
+type message = inbox.Message[*Control]
 
 // New returns a Control that Start sets going.
 func New(s Settings) *Control {
@@ -123,7 +116,7 @@
 	blocks, _ := block.NewTable(nil)
 	c := &Control{
 		settings: s,
-		inbox:    make(chan message, inboxSize),
+		inbox:    inbox.New[*Control](inboxSize),
 		self:     self,
 		members:  instance.NewTable(self, now),
 		config:   configuration.NewState(),
@@ -134,11 +127,9 @@
 		marks:    make(map[poolServer]lovageyard.InstanceState),
 		reports:  make(map[string]*report),
 		planners: make(map[string]*planner),
-		busy:     make(map[string]bool),
 		due:      make(map[string]time.Time),
 		random:   rand.New(rand.NewPCG(s.Seed, s.Seed)),
 	}
-	c.context, c.cancel = context.WithCancel(context.Background())
 	c.publish()
 	return c
 }
@@ -147,14 +138,12 @@
 func (c *Control) Start() {
 	ticks := c.settings.Timer.Subscribe(tickEvery)
 	steps := c.settings.Timer.Subscribe(stepEvery)
-	c.loop.Go(func() { c.run(ticks, steps) })
+	c.inbox.Own(func() { c.run(ticks, steps) })
 }
 
 // Close ends the loop and waits for it and for all calls that it began.
 func (c *Control) Close() {
-	c.cancel()
-	c.loop.Wait()
-	c.calls.Wait()
+	c.inbox.Close()
 }
 
 // Snapshot returns the snapshot in force.
@@ -173,9 +162,9 @@
 		case now := <-steps.C():
 			c.stepWorks(now)
 			c.steppedAt = now
-		case m := <-c.inbox:
-			m.apply(c)
-		case <-c.context.Done():
+		case m := <-c.inbox.Messages():
+			m.Apply(c)
+		case <-c.inbox.Context().Done():
 			return
 		}
 		if c.dirty {
@@ -184,41 +173,6 @@
 	}
 }
 
-// post hands a message to the loop; it returns false once the loop has ended.
-func (c *Control) post(m message) bool {
-	select {
-	case c.inbox <- m:
-		return true
-	case <-c.context.Done():
-		return false
-	}
-}
-
-// call runs f outside the loop and posts its result; one call of a name runs at a time.
-func (c *Control) call(name string, f func(ctx context.Context) message) {
-	if c.busy[name] {
-		return
-	}
-	c.busy[name] = true
-	c.calls.Go(func() {
-		result := f(c.context)
-		c.post(finished{name: name, result: result})
-	})
-}
-
-// finished is the end of a call.
-type finished struct {
-	name   string
-	result message
-}
-
-func (m finished) apply(c *Control) {
-	delete(c.busy, m.name)
-	if m.result != nil {
-		m.result.apply(c)
-	}
-}
-
 // every says whether an action of a name is due, and sets when it is due next.
 func (c *Control) every(name string, period time.Duration, now time.Time) bool {
 	if now.Before(c.due[name]) {
@@ -273,12 +227,12 @@
 
 // Leave makes the instance leave look-ups; it goes on serving.
 func (c *Control) Leave() {
-	c.post(leave{})
+	c.inbox.Post(leave{})
 }
 
 type leave struct{}
 
-func (leave) apply(c *Control) {
+func (leave) Apply(c *Control) {
 	c.self.State = lovageyard.StateLeaving
 	c.self.Heartbeat++
 	now := c.settings.Timer.Now()
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -250,7 +250,7 @@
 
 func (c *Control) settled(now time.Time) bool {
 	settled, err := ask(context.Background(), c, func() bool {
-		return len(c.busy) == 0 && len(c.inbox) == 0 && c.steppedAt.Equal(now) && now.Sub(c.tickedAt) < tickEvery
+		return c.inbox.IsIdle() && c.steppedAt.Equal(now) && now.Sub(c.tickedAt) < tickEvery
 	})
 	return settled && err == nil
 }
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -93,7 +93,7 @@
 		WantBlocks:    c.newBlocks > c.blocksVer,
 		WantListing:   c.settings.Timer.Now().Sub(c.listedAt) > 2*listEvery,
 	}
-	c.call("exchange "+address, func(ctx context.Context) message {
+	c.inbox.Call("exchange "+address, func(ctx context.Context) message {
 		reply, err := c.settings.Peers.Exchange(ctx, address, request)
 		return exchanged{reply: reply, err: err}
 	})
@@ -136,7 +136,7 @@
 	err   error
 }
 
-func (m exchanged) apply(c *Control) {
+func (m exchanged) Apply(c *Control) {
 	if m.err != nil {
 		c.settings.Logger.WithError(m.err).Debug("exchange failed")
 		return
@@ -198,7 +198,7 @@
 	for _, m := range marks {
 		k := poolServer{poolKey: poolKey{service: m.GetService(), site: m.GetSite()}, server: m.GetServer()}
 		if _, known := c.marks[k]; !known {
-			serverMarked{poolServer: k, state: lovageyard.InstanceState(m.GetState())}.apply(c)
+			serverMarked{poolServer: k, state: lovageyard.InstanceState(m.GetState())}.Apply(c)
 		}
 	}
 }
@@ -216,7 +216,7 @@
 // Exchange answers the exchange that a peer began.
 func (c *Control) Exchange(ctx context.Context, r *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
 	reply := make(chan *wire.ExchangeReply, 1)
-	if !c.post(exchangeAsked{request: r, reply: reply}) {
+	if !c.inbox.Post(exchangeAsked{request: r, reply: reply}) {
 		return nil, context.Canceled
 	}
 	select {
@@ -224,7 +224,7 @@
 		return answer, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
-	case <-c.context.Done():
+	case <-c.inbox.Context().Done():
 		return nil, context.Canceled
 	}
 }
@@ -234,7 +234,7 @@
 	reply   chan *wire.ExchangeReply
 }
 
-func (m exchangeAsked) apply(c *Control) {
+func (m exchangeAsked) Apply(c *Control) {
 	r := m.request
 	c.hear(r.GetFrom(), r.GetMembers(), r.GetMarks())
 	answer := &wire.ExchangeReply{
--- a/control/planner.go
+++ b/control/planner.go
@@ -71,7 +71,7 @@
 // classes. The round works on copies, outside the loop.
 func (c *Control) planService(service string, now time.Time) {
 	name := "plan " + service
-	if c.busy[name] {
+	if c.inbox.IsCalling(name) {
 		return
 	}
 	p := c.planners[service]
@@ -82,7 +82,7 @@
 	v := c.view(now)
 	inputs := c.plannerInputs(v, service)
 	grants := c.grantInput(v, service)
-	c.call(name, func(ctx context.Context) message {
+	c.inbox.Call(name, func(ctx context.Context) message {
 		result := planned{service: service, err: p.lease.Try(ctx, c.settings.Timer)}
 		result.record = p.lease.Record()
 		if result.err != nil || !p.lease.Held(c.settings.Timer.Now()) {
@@ -104,7 +104,7 @@
 	err     error
 }
 
-func (m planned) apply(c *Control) {
+func (m planned) Apply(c *Control) {
 	if m.err != nil {
 		c.settings.Logger.WithError(m.err).Debug("the planner's lease could not be tried")
 	}
--- a/control/platform.go
+++ b/control/platform.go
@@ -32,18 +32,18 @@
 
 // Poll reads the platform's changes at once, as after a write of an operator.
 func (c *Control) Poll() {
-	c.post(pollAsked{})
+	c.inbox.Post(pollAsked{})
 }
 
 type pollAsked struct{}
 
-func (pollAsked) apply(c *Control) {
+func (pollAsked) Apply(c *Control) {
 	c.poll()
 }
 
 func (c *Control) poll() {
 	after := c.config.Version()
-	c.call("poll", func(ctx context.Context) message {
+	c.inbox.Call("poll", func(ctx context.Context) message {
 		changes, err := c.settings.Table.Changes(ctx, configuration.Tables(), after)
 		return polled{changes: changes, err: err}
 	})
@@ -54,7 +54,7 @@
 	err     error
 }
 
-func (m polled) apply(c *Control) {
+func (m polled) Apply(c *Control) {
 	c.counter("platform.reads").Inc(1)
 	if m.err != nil {
 		c.settings.Logger.WithError(m.err).Debug("the platform's changes could not be read")
@@ -82,7 +82,7 @@
 }
 
 func (c *Control) list() {
-	c.call("list", func(ctx context.Context) message {
+	c.inbox.Call("list", func(ctx context.Context) message {
 		listing, err := c.settings.Instances.Listing(ctx)
 		return listed{listing: listing, err: err}
 	})
@@ -93,7 +93,7 @@
 	err     error
 }
 
-func (m listed) apply(c *Control) {
+func (m listed) Apply(c *Control) {
 	c.counter("platform.reads").Inc(1)
 	if m.err != nil {
 		c.settings.Logger.WithError(m.err).Debug("the platform's list could not be read")
@@ -104,7 +104,7 @@
 
 func (c *Control) readBlocks() {
 	known := c.blocksVer
-	c.call("blocks", func(ctx context.Context) message {
+	c.inbox.Call("blocks", func(ctx context.Context) message {
 		object, err := c.settings.Objects.Get(ctx, block.ObjectName)
 		if errors.Is(err, lovageyard.ErrNotFound) || err == nil && object.Version == known {
 			return nil
@@ -125,7 +125,7 @@
 	err     error
 }
 
-func (m blocksRead) apply(c *Control) {
+func (m blocksRead) Apply(c *Control) {
 	if m.err != nil {
 		c.settings.Logger.WithError(m.err).Debug("the table of blocks could not be read")
 		return
@@ -142,7 +142,7 @@
 
 // hearBlocks takes in the table of blocks that a peer passes on.
 func (c *Control) hearBlocks(zipped []byte, version int64) {
-	c.call("decode blocks", func(context.Context) message {
+	c.inbox.Call("decode blocks", func(context.Context) message {
 		body, err := peer.Unzip(zipped)
 		if err != nil {
 			return blocksRead{err: err}
--- a/control/pools.go
+++ b/control/pools.go
@@ -119,7 +119,7 @@
 
 // ServerLeaving notes that a backend server said that it is leaving.
 func (c *Control) ServerLeaving(service, site, name string) {
-	c.post(serverMarked{
+	c.inbox.Post(serverMarked{
 		poolServer: poolServer{poolKey: poolKey{service: service, site: site}, server: name},
 		state:      lovageyard.StateLeaving,
 	})
@@ -130,7 +130,7 @@
 	state lovageyard.InstanceState
 }
 
-func (m serverMarked) apply(c *Control) {
+func (m serverMarked) Apply(c *Control) {
 	if c.marks[m.poolServer] == m.state {
 		return
 	}
@@ -165,7 +165,7 @@
 }
 
 func (c *Control) probeServer(k poolKey, b lovageyard.BackendServer) {
-	c.call("probe "+b.Name, func(ctx context.Context) message {
+	c.inbox.Call("probe "+b.Name, func(ctx context.Context) message {
 		report, err := c.settings.Backend.Probe(ctx, b)
 		return probed{poolServer: poolServer{poolKey: k, server: b.Name}, report: report, err: err}
 	})
@@ -177,7 +177,7 @@
 	err    error
 }
 
-func (m probed) apply(c *Control) {
+func (m probed) Apply(c *Control) {
 	if m.err != nil {
 		return
 	}
@@ -185,7 +185,7 @@
 		p.Heard(m.server, m.report, c.settings.Timer.Now())
 	}
 	if !m.report.Leaving && c.marks[m.poolServer] == lovageyard.StateLeaving {
-		serverMarked{poolServer: m.poolServer, state: lovageyard.StateLive}.apply(c)
+		serverMarked{poolServer: m.poolServer, state: lovageyard.StateLive}.Apply(c)
 	}
 }
 
--- a/control/report.go
+++ b/control/report.go
@@ -84,7 +84,7 @@
 	if address == "" {
 		return
 	}
-	c.call("report "+address, func(ctx context.Context) message {
+	c.inbox.Call("report "+address, func(ctx context.Context) message {
 		if err := c.settings.Peers.Report(ctx, address, r); err != nil {
 			c.settings.Logger.WithError(err).Debug("report failed")
 		}
@@ -221,7 +221,7 @@
 
 // Report takes in a report of a peer.
 func (c *Control) Report(_ context.Context, r *wire.DemandReport) (*wire.ReportReply, error) {
-	if !c.post(reported{report: r}) {
+	if !c.inbox.Post(reported{report: r}) {
 		return nil, context.Canceled
 	}
 	return &wire.ReportReply{}, nil
@@ -231,7 +231,7 @@
 	report *wire.DemandReport
 }
 
-func (m reported) apply(c *Control) {
+func (m reported) Apply(c *Control) {
 	c.keepReport(m.report, c.settings.Timer.Now())
 }
 
--- a/control/status.go
+++ b/control/status.go
@@ -26,14 +26,14 @@
 	reply  chan T
 }
 
-func (q question[T]) apply(*Control) {
+func (q question[T]) Apply(*Control) {
 	q.reply <- q.answer()
 }
 
 func ask[T any](ctx context.Context, c *Control, answer func() T) (T, error) {
 	q := question[T]{answer: answer, reply: make(chan T, 1)}
 	var none T
-	if !c.post(q) {
+	if !c.inbox.Post(q) {
 		return none, context.Canceled
 	}
 	select {
@@ -41,7 +41,7 @@
 		return value, nil
 	case <-ctx.Done():
 		return none, ctx.Err()
-	case <-c.context.Done():
+	case <-c.inbox.Context().Done():
 		return none, context.Canceled
 	}
 }
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +14,7 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
+	"lovageyard.example/lovageyard/inbox"
 	"lovageyard.example/lovageyard/instance"
 	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/peer/wire"
@@ -69,23 +69,18 @@
 // Control runs the control loop of one entry instance.
 type Control struct {
 	settings Settings
-	inbox    chan message
+	inbox    *inbox.Inbox[*Control]
 	view     atomic.Pointer[catalog.View]
 	// direct says that this instance watches the platform itself.
 	direct atomic.Bool
 	// began is when this instance started.
-	began   time.Time
-	context context.Context
-	cancel  context.CancelFunc
-	loop    sync.WaitGroup
-	calls   sync.WaitGroup
+	began time.Time
 
 	// All below belongs to the loop's goroutine.
 	self    instance.Member
 	members *instance.Table
 	state   *catalog.State
 	random  *rand.Rand
-	busy    map[string]bool
 	seeds   []string
 	leaving bool
 	closing bool
@@ -101,9 +96,7 @@
 }
 
 // message is a typed message to the loop.
-type message interface {
-	apply(c *Control)
-}
+type message = inbox.Message[*Control]
 
 // New returns a Control that Start sets going.
 func New(s Settings) *Control {
@@ -111,20 +104,18 @@
 	self := instance.Member{EntryInstance: s.Self}
 	c := &Control{
 		settings: s,
-		inbox:    make(chan message, inboxSize),
+		inbox:    inbox.New[*Control](inboxSize),
 		began:    now,
 		self:     self,
 		members:  instance.NewTable(self, now),
 		state:    catalog.NewState(s.Decoder),
 		random:   rand.New(rand.NewPCG(s.Seed, s.Seed)),
-		busy:     make(map[string]bool),
 		seeds:    s.Seeds,
 		relays:   make(map[string]*followed),
 		failing:  make(map[string]time.Time),
 		unheard:  make(map[string]time.Time),
 	}
 	c.members.SetPatience(silence)
-	c.context, c.cancel = context.WithCancel(context.Background())
 	c.direct.Store(true)
 	c.publish()
 	return c
@@ -133,18 +124,16 @@
 // Start sets the loop and the watches of the platform's tables going.
 func (c *Control) Start() {
 	ticks := c.settings.Timer.Subscribe(tickEvery)
-	c.loop.Go(func() { c.run(ticks) })
+	c.inbox.Own(func() { c.run(ticks) })
 	for _, table := range lovageyard.FollowedTables() {
-		c.calls.Go(func() { c.follow(table) })
+		c.inbox.Go(func() { c.follow(table) })
 	}
-	c.calls.Go(c.register)
+	c.inbox.Go(c.register)
 }
 
 // Close ends the loop and all calls, and waits for them.
 func (c *Control) Close() {
-	c.cancel()
-	c.loop.Wait()
-	c.calls.Wait()
+	c.inbox.Close()
 }
 
 // View returns the view in force.
@@ -167,9 +156,9 @@
 			} else {
 				c.shareWithSome()
 			}
-		case m := <-c.inbox:
-			m.apply(c)
-		case <-c.context.Done():
+		case m := <-c.inbox.Messages():
+			m.Apply(c)
+		case <-c.inbox.Context().Done():
 			return
 		}
 		if c.dirty {
@@ -179,16 +168,6 @@
 	}
 }
 
-// post hands a message to the loop; it returns false once the loop has ended.
-func (c *Control) post(m message) bool {
-	select {
-	case c.inbox <- m:
-		return true
-	case <-c.context.Done():
-		return false
-	}
-}
-
 func (c *Control) tick(now time.Time) {
 	c.beat(now)
 	if c.members.Tick(now) {
@@ -301,12 +280,12 @@
 
 // Leave takes this instance out of look-ups and tells its peers; it goes on serving.
 func (c *Control) Leave() {
-	c.post(leave{})
+	c.inbox.Post(leave{})
 }
 
 type leave struct{}
 
-func (leave) apply(c *Control) {
+func (leave) Apply(c *Control) {
 	c.leaving = true
 	c.self.State = lovageyard.StateLeaving
 	c.beat(c.settings.Timer.Now())
@@ -316,24 +295,24 @@
 
 // Refuse makes this instance refuse new requests.
 func (c *Control) Refuse() {
-	c.post(refuse{})
+	c.inbox.Post(refuse{})
 }
 
 type refuse struct{}
 
-func (refuse) apply(c *Control) {
+func (refuse) Apply(c *Control) {
 	c.closing = true
 	c.dirty = true
 }
 
 // SetSeeds changes the peers to ask before any other is known.
 func (c *Control) SetSeeds(addresses []string) {
-	c.post(seeds(addresses))
+	c.inbox.Post(seeds(addresses))
 }
 
 type seeds []string
 
-func (m seeds) apply(c *Control) {
+func (m seeds) Apply(c *Control) {
 	c.seeds = m
 }
 
@@ -349,7 +328,7 @@
 		return
 	}
 	write := lovageyard.Write{Table: lovageyard.TableInstances, Key: self.Name, Value: value}
-	for attempt := 0; c.context.Err() == nil; attempt++ {
+	for attempt := 0; c.inbox.Context().Err() == nil; attempt++ {
 		view := c.View()
 		if view.Cursors[lovageyard.TableInstances] == 0 {
 			c.pause(turnEvery)
@@ -360,7 +339,7 @@
 		}
 		// A write of which the outcome is not known may be made again.
 		c.settings.Metrics.Count(meter.PlatformWrites)
-		_, err := c.settings.Registrar.Transact(c.context, lovageyard.Transaction{Writes: []lovageyard.Write{write}})
+		_, err := c.settings.Registrar.Transact(c.inbox.Context(), lovageyard.Transaction{Writes: []lovageyard.Write{write}})
 		if err == nil {
 			return
 		}
@@ -377,7 +356,7 @@
 	defer after.Close()
 	select {
 	case <-after.C():
-	case <-c.context.Done():
+	case <-c.inbox.Context().Done():
 	}
 }
 
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -49,12 +49,12 @@
 		}
 		news := c.read(table, cursor, wait)
 		news.applied = make(chan int64, 1)
-		if !c.post(news) {
+		if !c.inbox.Post(news) {
 			return
 		}
 		select {
 		case cursor = <-news.applied:
-		case <-c.context.Done():
+		case <-c.inbox.Context().Done():
 			return
 		}
 		if news.err == nil {
@@ -89,10 +89,10 @@
 // read makes one call: the whole table if nothing is known, else its changes.
 func (c *Control) read(table string, cursor int64, wait time.Duration) heard {
 	if cursor == 0 {
-		list, err := c.settings.Feed.Rows(c.context, table)
+		list, err := c.settings.Feed.Rows(c.inbox.Context(), table)
 		return heard{table: table, changes: list, whole: true, err: err}
 	}
-	changes, err := c.settings.Feed.Watch(c.context, table, cursor, wait)
+	changes, err := c.settings.Feed.Watch(c.inbox.Context(), table, cursor, wait)
 	return heard{table: table, changes: changes, err: err}
 }
 
@@ -106,7 +106,7 @@
 	applied chan int64
 }
 
-func (m heard) apply(c *Control) {
+func (m heard) Apply(c *Control) {
 	now := c.settings.Timer.Now()
 	c.settings.Metrics.Count(meter.PlatformReads, m.table)
 	if m.err != nil {
@@ -190,7 +190,7 @@
 }
 
 func (c *Control) removeRow(r lovageyard.Row) {
-	c.call("remove "+r.Key, func(ctx context.Context) message {
+	c.inbox.Call("remove "+r.Key, func(ctx context.Context) message {
 		c.settings.Metrics.Count(meter.PlatformWrites)
 		_, err := c.settings.Registrar.Transact(ctx, lovageyard.Transaction{
 			Conditions: []lovageyard.Condition{{Table: r.Table, Key: r.Key, Version: r.Version}},
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -77,7 +77,7 @@
 	if c.relays[address].sound {
 		request.WaitMs = followFor.Milliseconds()
 	}
-	c.call("follow "+address, func(ctx context.Context) message {
+	c.inbox.Call("follow "+address, func(ctx context.Context) message {
 		reply, err := c.settings.Peers.Share(ctx, address, request)
 		return relayed{address: address, reply: reply, err: err}
 	})
@@ -90,7 +90,7 @@
 	err     error
 }
 
-func (m relayed) apply(c *Control) {
+func (m relayed) Apply(c *Control) {
 	f := c.relays[m.address]
 	if f == nil {
 		return
@@ -156,7 +156,7 @@
 // awaitTurn waits until this instance is to watch the platform itself; it returns false
 // when the loop has ended.
 func (c *Control) awaitTurn() bool {
-	for c.context.Err() == nil {
+	for c.inbox.Context().Err() == nil {
 		if c.direct.Load() {
 			return true
 		}
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -82,7 +82,7 @@
 		// Before, whole tables are on their way from the platform.
 		request.Cursors = c.cursors()
 	}
-	c.call("share "+p.address, func(ctx context.Context) message {
+	c.inbox.Call("share "+p.address, func(ctx context.Context) message {
 		reply, err := c.settings.Peers.Share(ctx, p.address, request)
 		return shared{address: p.address, reply: reply, err: err}
 	})
@@ -128,7 +128,7 @@
 	err     error
 }
 
-func (m shared) apply(c *Control) {
+func (m shared) Apply(c *Control) {
 	if m.err != nil {
 		c.settings.Metrics.Count(meter.PeerFailures)
 		c.settings.Logger.WithError(m.err).Debug("a peer did not answer")
@@ -213,7 +213,7 @@
 // Share answers an exchange that a peer began.
 func (c *Control) Share(ctx context.Context, r *wire.ShareRequest) (*wire.ShareReply, error) {
 	answer := make(chan *wire.ShareReply, 1)
-	if !c.post(asked{request: r, answer: answer}) {
+	if !c.inbox.Post(asked{request: r, answer: answer}) {
 		return nil, context.Canceled
 	}
 	select {
@@ -221,7 +221,7 @@
 		return reply, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
-	case <-c.context.Done():
+	case <-c.inbox.Context().Done():
 		return nil, context.Canceled
 	}
 }
@@ -232,7 +232,7 @@
 	answer  chan *wire.ShareReply
 }
 
-func (m asked) apply(c *Control) {
+func (m asked) Apply(c *Control) {
 	now := c.settings.Timer.Now()
 	c.hear(m.request.GetFrom(), m.request.GetPulses(), now)
 	changes := c.changesFor(m.request.GetCursors())
@@ -243,27 +243,3 @@
 	}
 	m.answer <- c.reply(changes)
 }
-
-// call runs f outside the loop and posts its result; one call of a name runs at a time.
-func (c *Control) call(name string, f func(ctx context.Context) message) {
-	if c.busy[name] {
-		return
-	}
-	c.busy[name] = true
-	c.calls.Go(func() {
-		c.post(finished{name: name, result: f(c.context)})
-	})
-}
-
-// finished is the end of a call.
-type finished struct {
-	name   string
-	result message
-}
-
-func (m finished) apply(c *Control) {
-	delete(c.busy, m.name)
-	if m.result != nil {
-		m.result.apply(c)
-	}
-}
