--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -305,7 +305,7 @@
 	member := func(name, region string, state lovageyard.InstanceState) lovageyard.EntryInstance {
 		return lovageyard.EntryInstance{Name: name, Region: region, CallerAddress: name, State: state}
 	}
-	view := &catalog.View{Live: []lovageyard.EntryInstance{
+	view := &catalog.View{Ready: true, Live: []lovageyard.EntryInstance{
 		member("a", "north", lovageyard.StateLive),
 		member("b", "north", lovageyard.StateLeaving),
 		member("c", "south", lovageyard.StateLive),
@@ -320,6 +320,10 @@
 	c.Assert(ask("north"), qt.Equals, `{"Addresses":["a"],"TtlS":2}`)
 	c.Assert(ask("south"), qt.Equals, `{"Addresses":["c"],"TtlS":2}`)
 	c.Assert(ask("west"), qt.Equals, `{"Addresses":["a","c"],"TtlS":2}`)
+	// One that has just started and is cut off knows itself at best, and can't serve.
+	view.Ready = false
+	c.Assert(ask("north"), qt.Contains, "not ready")
+	view.Ready = true
 	view.Live = nil
 	c.Assert(ask("north"), qt.Contains, "no entry instance")
 }
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -28,6 +28,11 @@
 	}
 	query := platform.LookUpQueryOf(r.URL.Query())
 	view := d.Source.View()
+	if !view.Ready {
+		// The client asks the next instance, which knows better where to connect.
+		http.Error(w, "this instance is not ready", http.StatusServiceUnavailable)
+		return
+	}
 	answer := platform.LookUpAnswer{
 		Addresses: addresses(view, query.Region),
 		Seconds:   d.KeepFor.Seconds(),
