--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -255,3 +257,24 @@
 	empty.ApplyList(lovageyard.TableInstances, changes(0, 5), start)
 	c.Assert(empty.Snapshot().Cursors[lovageyard.TableInstances], qt.Equals, int64(5))
 }
+
+// The longest prefix wins also among thousands of routes.
+func TestMatchAmongManyRoutes(t *testing.T) {
+	c := qt.New(t)
+	configuration := lovageyard.Configuration{Version: 1}
+	const count = 2000
+	for i := range count {
+		configuration.Routes = append(configuration.Routes, lovageyard.Route{
+			Name: fmt.Sprint("r", i), Host: "a.example", Prefix: strings.Repeat("/x", i%20) + fmt.Sprintf("/%d/", i),
+		})
+	}
+	s := catalog.NewState(jsonDecoder{})
+	s.ApplyList(lovageyard.TableOrders, changes(0, 1, row(c, lovageyard.TableOrders, "config", 1, configuration)), start)
+	view := s.Snapshot()
+	for _, route := range configuration.Routes {
+		found := view.Match("a.example", route.Prefix+"object")
+		c.Assert(found, qt.IsNotNil)
+		c.Assert(found.Name, qt.Equals, route.Name)
+	}
+	c.Assert(view.Match("a.example", "/none/"), qt.IsNil)
+}
--- a/integration/edge_test.go
+++ b/integration/edge_test.go
@@ -19,6 +19,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/platform"
 	"lovageyard.example/lovageyard/platform/fake"
 )
 
@@ -45,6 +46,8 @@
 	servers []*fake.Server
 	command *exec.Cmd
 	output  *bufio.Reader
+	// settings is the path of its settings file.
+	settings string
 	// address is where it takes callers' requests, and ready where it tells whether it can.
 	address string
 	ready   string
@@ -104,12 +107,15 @@
 }
 
 // start runs the program and reads its output until it has told its addresses.
-func (e *edge) start(platform string) {
+func (e *edge) start(store string) {
 	loopback := "127.0.0.1:0"
 	e.command = exec.Command(filepath.Join(bin, "lovageyardd"), "edge",
 		"--instance", "entry-1", "--failure-domain", "north-1", "--region", "north", "--regions", "north-1=north",
 		"--caller-address", loopback, "--ready-address", loopback, "--look-up-address", loopback, "--peer-address", loopback,
-		"--platform-address", platform, "--leave-within", "2s", "--retry-slack", "1000")
+		"--platform-address", store, "--leave-within", "2s", "--retry-slack", "1000")
+	e.settings = filepath.Join(e.c.TempDir(), "settings.json")
+	e.c.Assert(os.WriteFile(e.settings, []byte("{}"), 0o600), qt.IsNil)
+	e.command.Env = append(os.Environ(), platform.SettingsVariable+"="+e.settings)
 	e.command.Stderr = os.Stderr
 	out, err := e.command.StdoutPipe()
 	e.c.Assert(err, qt.IsNil)
@@ -244,3 +250,37 @@
 	e.c.Assert(err, qt.IsNil)
 	e.c.Assert(state.ExitCode(), qt.Equals, 0)
 }
+
+// An instance reads its settings anew when it is asked to; a file that is half written, or
+// gone for a moment, leaves the old ones in force.
+func TestSignalToReadSettingsStopsNothing(t *testing.T) {
+	t.Parallel()
+	e := newEdge(t)
+	for n, text := range []string{"{", `{"retry-ratio": "many"}`, "", `{"log-level": "debug"}`} {
+		if text == "" {
+			e.c.Assert(os.Remove(e.settings), qt.IsNil)
+		} else {
+			e.c.Assert(os.WriteFile(e.settings, []byte(text), 0o600), qt.IsNil)
+		}
+		e.c.Assert(e.command.Process.Signal(syscall.SIGHUP), qt.IsNil)
+		want := "settings not reloaded"
+		if n == 3 {
+			want = "settings reloaded"
+		}
+		e.readUntil(want)
+		status, _ := e.ask(http.MethodGet, lookUpPrefix, fmt.Sprint("after-", n), "")
+		e.c.Assert(status, qt.Equals, http.StatusOK)
+	}
+	e.stop()
+}
+
+// readUntil reads the output up to a line of a message.
+func (e *edge) readUntil(message string) {
+	for {
+		line, err := e.output.ReadString('\n')
+		e.c.Assert(err, qt.IsNil, qt.Commentf("waiting for %q", message))
+		if strings.Contains(line, `"msg":"`+message+`"`) {
+			return
+		}
+	}
+}
--- a/lovageyardd/main.go
+++ b/lovageyardd/main.go
@@ -30,9 +30,13 @@
 )
 
 func main() {
+	file, err := fileOptions()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lovageyardd:", err)
+		os.Exit(settings.ExitUsage)
+	}
 	var c commands
-	parsed := settings.Parse(programName, prefix, programAbout, &c, fileOptions()...)
-	var err error
+	parsed := settings.Parse(programName, prefix, programAbout, &c, file...)
 	switch command, _, _ := strings.Cut(parsed.Command(), " "); command {
 	case "edge":
 		err = runEdge(c.Edge)
@@ -48,17 +52,16 @@
 }
 
 // fileOptions reads the settings file that the platform names, if it does.
-func fileOptions() []kong.Option {
+func fileOptions() ([]kong.Option, error) {
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
-		return nil
+		return nil, nil
 	}
 	option, err := settings.File(path)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "lovageyardd:", err)
-		os.Exit(settings.ExitUsage)
+		return nil, err
 	}
-	return []kong.Option{option}
+	return []kong.Option{option}, nil
 }
 
 // run serves until a signal asks to leave; a second signal hurries.
--- a/lovageyardd/reload.go
+++ b/lovageyardd/reload.go
@@ -40,8 +40,13 @@
 // runs: the bounds, the peers to ask first and the log level. Settings that are wrong
 // leave the old ones in force.
 func (e *edge) reload(cause string) {
+	file, err := fileOptions()
+	if err != nil {
+		e.logger.WithError(err).WithField("cause", cause).Error("settings not reloaded")
+		return
+	}
 	var c commands
-	parsed, err := settings.Read(os.Args[1:], programName, prefix, programAbout, &c, fileOptions()...)
+	parsed, err := settings.Read(os.Args[1:], programName, prefix, programAbout, &c, file...)
 	if err != nil || parsed == nil {
 		e.logger.WithError(err).WithField("cause", cause).Error("settings not reloaded")
 		return
