An instance without rows asks one peer at a time for them

Every exchange of an instance that had not read all tables yet asked for whole tables, up to twelve times a second, and 300 instances start at once. Change: rows are asked for in calls of their own, at most two under way; other exchanges carry cursors only once all tables are known. Relays are followed before a configuration is known, and the table of instances is read each second at the start.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -28,7 +28,7 @@
 	// 6 s and more until a dead one is named no more.
 	silence   = 4 * time.Second
 	inboxSize = 256
-	// startEvery is the pause after which an instance that has just started asks peers for
+	// startEvery is the pause after which an instance that has just started asks a peer for
 	// the rows that the platform has not given it: the platform answers in about 4 ms, and
 	// 60 times as slowly on a bad day. Until it has them, the instance refuses requests.
 	startEvery = 250 * time.Millisecond
@@ -154,7 +154,7 @@
 			if c.hasReadAll() {
 				starting.Close()
 			} else {
-				c.shareWithSome()
+				c.askForRows()
 			}
 		case m := <-c.inbox.Messages():
 			m.Apply(c)
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -78,10 +78,10 @@
 // pauseOf returns the pause between two calls of a table.
 func (c *Control) pauseOf(table string) time.Duration {
 	switch {
-	case table == lovageyard.TableInstances:
-		return coalesceInstances
 	case c.settings.Timer.Now().Sub(c.began) < startFor:
 		return coalesceStart
+	case table == lovageyard.TableInstances:
+		return coalesceInstances
 	}
 	return coalesce
 }
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -49,7 +49,7 @@
 			delete(c.relays, address)
 		}
 	}
-	if c.state.Ready() {
+	if c.hasReadAll() {
 		for _, address := range addresses {
 			if c.relays[address] == nil {
 				c.relays[address] = &followed{}
@@ -141,7 +141,7 @@
 
 // isStale says whether this instance can't read the platform at present.
 func (c *Control) isStale() bool {
-	return len(c.failing) > 0 || !c.state.Ready()
+	return len(c.failing) > 0 || !c.hasReadAll()
 }
 
 func (c *Control) reply(changes []*wire.TableChanges) *wire.ShareReply {
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"lovageyard.example/lovageyard"
@@ -20,6 +21,9 @@
 	anyFanOut  = 1
 	// maxPulses bounds the instances that one message passes word of.
 	maxPulses = 24
+	// maxAsked bounds the peers that an instance without rows asks at a time: one of them may
+	// be silent.
+	maxAsked = 2
 	// maxTold bounds the peers that a leaving instance tells itself.
 	maxTold = 16
 )
@@ -78,8 +82,8 @@
 
 func (c *Control) shareAt(p partner) {
 	request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.pulses()}
-	if c.settings.Timer.Now().Sub(c.began) >= startEvery {
-		// Before, whole tables are on their way from the platform.
+	if c.hasReadAll() {
+		// Before, whole tables are asked for at one peer at a time; see askForRows.
 		request.Cursors = c.cursors()
 	}
 	c.inbox.Call("share "+p.address, func(ctx context.Context) message {
@@ -88,6 +92,28 @@
 	})
 }
 
+// askForRows asks a random peer for whole tables, unless enough are asked already: tables
+// of a large fleet are long for a narrow link.
+func (c *Control) askForRows() {
+	partners := c.partners()
+	if len(partners) == 0 {
+		return
+	}
+	request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.pulses(), Cursors: c.cursors()}
+	address := partners[0].address
+	for n := range maxAsked {
+		name := "ask for rows " + strconv.Itoa(n)
+		if c.inbox.IsCalling(name) {
+			continue
+		}
+		c.inbox.Call(name, func(ctx context.Context) message {
+			reply, err := c.settings.Peers.Share(ctx, address, request)
+			return shared{address: address, reply: reply, err: err}
+		})
+		return
+	}
+}
+
 // hasReadAll says whether all followed tables have been read from the platform or a peer.
 func (c *Control) hasReadAll() bool {
 	for _, table := range lovageyard.FollowedTables() {
