--- a/fleet/share.go
+++ b/fleet/share.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"lovageyard.example/lovageyard"
@@ -76,6 +77,8 @@
 	for address, region := range found {
 		partners = append(partners, partner{address: address, region: region})
 	}
+	// In a fixed order first, so that the same inputs give the same choices.
+	slices.SortFunc(partners, func(a, b partner) int { return strings.Compare(a.address, b.address) })
 	c.random.Shuffle(len(partners), func(i, j int) { partners[i], partners[j] = partners[j], partners[i] })
 	return partners
 }
@@ -83,13 +86,10 @@
 func (c *Control) shareAt(p partner) {
 	request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.pulses()}
 	if c.hasReadAll() {
-		// Before, whole tables are asked for at one peer at a time; see askForRows.
+		// Before, whole tables are asked for at few peers at a time; see askForRows.
 		request.Cursors = c.cursors()
 	}
-	c.inbox.Call("share "+p.address, func(ctx context.Context) message {
-		reply, err := c.settings.Peers.Share(ctx, p.address, request)
-		return shared{address: p.address, reply: reply, err: err}
-	})
+	c.exchange("share "+p.address, p.address, request)
 }
 
 // askForRows asks a random peer for whole tables, unless enough are asked already: tables
@@ -99,21 +99,25 @@
 	if len(partners) == 0 {
 		return
 	}
-	request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.pulses(), Cursors: c.cursors()}
-	address := partners[0].address
 	for n := range maxAsked {
 		name := "ask for rows " + strconv.Itoa(n)
 		if c.inbox.IsCalling(name) {
 			continue
 		}
-		c.inbox.Call(name, func(ctx context.Context) message {
-			reply, err := c.settings.Peers.Share(ctx, address, request)
-			return shared{address: address, reply: reply, err: err}
-		})
+		request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.pulses(), Cursors: c.cursors()}
+		c.exchange(name, partners[0].address, request)
 		return
 	}
 }
 
+// exchange calls a peer and takes in what it answers; one call of a name runs at a time.
+func (c *Control) exchange(name, address string, request *wire.ShareRequest) {
+	c.inbox.Call(name, func(ctx context.Context) message {
+		reply, err := c.settings.Peers.Share(ctx, address, request)
+		return shared{address: address, reply: reply, err: err}
+	})
+}
+
 // hasReadAll says whether all followed tables have been read from the platform or a peer.
 func (c *Control) hasReadAll() bool {
 	for _, table := range lovageyard.FollowedTables() {
