--- a/decision/sink_test.go
+++ b/decision/sink_test.go
@@ -102,7 +102,7 @@
 }
 
 // An instance that leaves ends also if nobody reads its output.
-func TestSinkClosesWhileItsOutputIsStuck(t *testing.T) {
+func TestSinkClosesWhileItsOutputIsStuck(_ *testing.T) {
 	out := &stuck{open: make(chan struct{})}
 	defer close(out.open)
 	logger, sink := newLogger(out)
