--- a/fleet/control.go
+++ b/fleet/control.go
@@ -32,6 +32,9 @@
 	// the rows that the platform has not given it: the platform answers in about 4 ms, and
 	// 60 times as slowly on a bad day. Until it has them, the instance refuses requests.
 	startEvery = 250 * time.Millisecond
+	// askEvery is the least pause between such questions: in a large fleet that starts at
+	// once the platform may be sending long tables to all, and peers would send them again.
+	askEvery = time.Second
 )
 
 // Peers reaches other entry instances.
@@ -85,6 +88,8 @@
 	leaving bool
 	closing bool
 	dirty   bool
+	// askedAt is when peers were last asked for whole tables.
+	askedAt time.Time
 	// relays holds the relays that this instance follows, by address.
 	relays map[string]*followed
 	// waiters are peers' calls that wait for rows.
@@ -150,11 +155,11 @@
 		select {
 		case now := <-ticks.C():
 			c.tick(now)
-		case <-starting.C():
+		case now := <-starting.C():
 			if c.hasReadAll() {
 				starting.Close()
 			} else {
-				c.askForRows()
+				c.askForRows(now)
 			}
 		case m := <-c.inbox.Messages():
 			m.Apply(c)
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -22,8 +22,8 @@
 	anyFanOut  = 1
 	// maxPulses bounds the instances that one message passes word of.
 	maxPulses = 24
-	// maxAsked bounds the peers that an instance without rows asks at a time: one of them may
-	// be silent.
+	// maxAsked is the number of peers that an instance without rows asks at a time, as one of
+	// them may be silent.
 	maxAsked = 2
 	// maxTold bounds the peers that a leaving instance tells itself.
 	maxTold = 16
@@ -92,21 +92,16 @@
 	c.exchange("share "+p.address, p.address, request)
 }
 
-// askForRows asks a random peer for whole tables, unless enough are asked already: tables
-// of a large fleet are long for a narrow link.
-func (c *Control) askForRows() {
-	partners := c.partners()
-	if len(partners) == 0 {
+// askForRows asks a few random peers for whole tables, unless it did so a moment ago.
+func (c *Control) askForRows(now time.Time) {
+	if !c.askedAt.IsZero() && now.Sub(c.askedAt) < askEvery {
 		return
 	}
-	for n := range maxAsked {
-		name := "ask for rows " + strconv.Itoa(n)
-		if c.inbox.IsCalling(name) {
-			continue
-		}
+	c.askedAt = now
+	partners := c.partners()
+	for n, p := range partners[:min(maxAsked, len(partners))] {
 		request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.pulses(), Cursors: c.cursors()}
-		c.exchange(name, partners[0].address, request)
-		return
+		c.exchange("ask for rows "+strconv.Itoa(n), p.address, request)
 	}
 }
 
