--- a/lovageyard/trace.go
+++ b/lovageyard/trace.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -130,6 +131,9 @@
 	})
 }
 
+// addresses are what reasons of failed connections name: one address, or both ends.
+var addresses = regexp.MustCompile(`\d+\.\d+\.\d+\.\d+:\d+(->\d+\.\d+\.\d+\.\d+:\d+)?`)
+
 // sumUp sums up the lines from one time to another; a zero time sets no bound.
 func (l *logs) sumUp(from, to time.Time) incident {
 	sum := incident{BadLines: l.bad}
@@ -145,7 +149,8 @@
 		if line.Outcome != "repeated" {
 			sum.Requests++
 		}
-		counts[outcomeCount{Service: line.Service, Outcome: line.Outcome, Status: line.Status, Reason: line.Reason}]++
+		reason := addresses.ReplaceAllString(line.Reason, "ADDRESS")
+		counts[outcomeCount{Service: line.Service, Outcome: line.Outcome, Status: line.Status, Reason: reason}]++
 	}
 	for c, n := range counts {
 		c.Count = n
--- a/lovageyard/trace_test.go
+++ b/lovageyard/trace_test.go
@@ -44,6 +44,23 @@
 	c.Assert(readSample(c).story("unknown"), qt.HasLen, 0)
 }
 
+// Reasons that differ in addresses only are counted together.
+func TestSumOfAnIncidentFoldsAddresses(t *testing.T) {
+	c := qt.New(t)
+	var l logs
+	for _, reason := range []string{
+		"read tcp 10.1.0.41:32942->10.1.64.37:8700: read: connection reset by peer",
+		"read tcp 10.3.0.31:32958->10.3.64.13:8700: read: connection reset by peer",
+		"dial tcp 10.3.64.8:8700: i/o timeout",
+	} {
+		l.lines = append(l.lines, logLine{Message: "request", Outcome: "failed", Reason: reason})
+	}
+	c.Assert(l.sumUp(time.Time{}, time.Time{}).Outcomes, qt.DeepEquals, []outcomeCount{
+		{Outcome: "failed", Reason: "read tcp ADDRESS: read: connection reset by peer", Count: 2},
+		{Outcome: "failed", Reason: "dial tcp ADDRESS: i/o timeout", Count: 1},
+	})
+}
+
 func TestSumOfAnIncident(t *testing.T) {
 	c := qt.New(t)
 	sum := readSample(c).sumUp(time.Time{}, time.Date(2026, 12, 2, 10, 0, 1, 500_000_000, time.UTC))
