--- a/integration/edge_test.go
+++ b/integration/edge_test.go
@@ -139,7 +139,7 @@
 		}
 	}
 	e.until("readiness", func() bool {
-		response, err := http.Get("http://" + e.ready + "/readyz")
+		response, err := http.Get("http://" + e.ready + platform.ReadyPath)
 		if err != nil {
 			return false
 		}
