lovageyard report: a page of charts on how requests ended, from logs

On-call engineers saw single requests (trace) and sums (incident), not when and where requests were lost. The new command reads logs in one pass and writes one page that opens alone: answered in time, late, refused by cause, failed, a second, by class, region and site, with the changes of belief marked. Request lines gained goal-ms and cause, the line of the start its region.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -305,9 +305,13 @@
 	if status != 0 {
 		fields[decision.FieldStatus] = status
 	}
+	if x.cause != "" {
+		fields["cause"] = x.cause
+	}
 	if x.route != nil {
 		fields["route"] = x.route.Name
 		fields["service"] = x.service
+		fields["goal-ms"] = x.route.Goal.Milliseconds()
 		fields["left-ms"] = x.deadline.Sub(x.handler.Timer.Now()).Milliseconds()
 	}
 	if a != nil {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -95,6 +95,8 @@
 	deadline time.Time
 	end      time.Time
 	tried    []string
+	// cause says why the request was refused, or is "".
+	cause string
 	// ran says that an attempt may have run the request.
 	ran bool
 	// failed is the last attempt whose server answered with a failure of its own, or nil.
@@ -179,6 +181,7 @@
 
 // refuse ends a request that has not run and never will; a is the last attempt, or nil.
 func (x *exchange) refuse(cause, reason string, retryAfter time.Duration, a *attempt) {
+	x.cause = cause
 	x.log(logrus.InfoLevel, "refused", http.StatusServiceUnavailable, reason, a)
 	x.handler.Metrics.Count(meter.Refusals, x.label(), cause)
 	x.fail(http.StatusServiceUnavailable, reason, retryAfter)
--- a/lovageyard/main.go
+++ b/lovageyard/main.go
@@ -35,6 +35,7 @@
 	Charge   chargeCommands   `cmd:"" help:"Requests that must run at most once."`
 	Trace    traceCommand     `cmd:"" help:"Tell one request's story from logs."`
 	Incident incidentCommand  `cmd:"" help:"Sum up from logs what was refused, failed and changed in a span of time."`
+	Report   reportCommand    `cmd:"" help:"Write a page of charts, from logs, on how requests ended."`
 	Explain  explainCommand   `cmd:"" help:"Tell where a client's requests go, and why."`
 	Status   statusCommand    `cmd:"" help:"Tell how one entry instance and its sites are doing."`
 }
--- /dev/null
+++ b/lovageyard/report.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"fmt"
+	"html/template"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxSiteCharts bounds the charts of sites; the table lists all.
+const maxSiteCharts = 12
+
+type reportCommand struct {
+	Files []string      `arg:"" optional:"" help:"Log files of entry instances; standard input if there are none."`
+	Page  string        `default:"report.html" help:"File that the page is written to."`
+	Bin   time.Duration `default:"1s" help:"Width of the bins of time; long logs get wider ones."`
+}
+
+// Run writes one page of tables and charts on how requests ended, from logs read in one pass.
+func (r *reportCommand) Run(s *invocation) error {
+	if r.Bin <= 0 {
+		return errors.New("--bin: more than 0s")
+	}
+	counts := newTally(r.Bin)
+	bad, err := scanLogs(r.Files, os.Stdin, counts.add)
+	if err != nil {
+		return err
+	}
+	if counts.requests == 0 {
+		return errors.Errorf("no line tells of a request (%d lines not understood)", bad)
+	}
+	file, err := os.Create(r.Page)
+	if err != nil {
+		return errors.Wrap(err, "--page")
+	}
+	defer file.Close()
+	if err := writePage(file, counts, bad); err != nil {
+		return errors.Wrap(err, "--page")
+	}
+	if err := file.Close(); err != nil {
+		return errors.Wrap(err, "--page")
+	}
+	written := reportWritten{Page: r.Page, Requests: counts.requests, BadLines: bad}
+	return s.print(written, func(w io.Writer) {
+		fmt.Fprintf(w, "%s: %d requests, %d lines not understood\n", r.Page, counts.requests, bad)
+	})
+}
+
+// reportWritten tells of a page that was written.
+type reportWritten struct {
+	Page     string `json:"page"`
+	Requests int    `json:"requests"`
+	BadLines int    `json:"bad-lines"`
+}
+
+// page is what the template shows.
+type page struct {
+	First, Last   time.Time
+	Bin           time.Duration
+	Requests, Bad int
+	Overview      template.HTML
+	Sections      []section
+	Marks         []mark
+	DroppedMarks  int
+}
+
+// section is one dimension's table and charts.
+type section struct {
+	Title  string
+	Totals []total
+	Charts []chart
+}
+
+type chart struct {
+	Name string
+	SVG  template.HTML
+}
+
+// writePage writes a page that opens without a network.
+func writePage(w io.Writer, t *tally, bad int) error {
+	overview, err := t.chart(byAll, byAll)
+	if err != nil {
+		return err
+	}
+	p := page{
+		First: t.first.UTC(), Last: t.last.UTC(), Bin: t.width, Requests: t.requests, Bad: bad,
+		// The charts are drawn here and hold names only as escaped text.
+		Overview: template.HTML(overview),
+		Marks:    t.sortedMarks(), DroppedMarks: t.dropped,
+	}
+	for _, dimension := range []string{byClass, byRegion, bySite} {
+		s, err := t.section(dimension)
+		if err != nil {
+			return err
+		}
+		p.Sections = append(p.Sections, s)
+	}
+	return pageTemplate.Execute(w, p)
+}
+
+func (t *tally) section(dimension string) (section, error) {
+	s := section{Title: dimension, Totals: t.totals(dimension)}
+	for i, sum := range s.Totals {
+		if dimension == bySite && i >= maxSiteCharts {
+			break
+		}
+		svg, err := t.chart(dimension, sum.Name)
+		if err != nil {
+			return s, err
+		}
+		s.Charts = append(s.Charts, chart{Name: sum.Name, SVG: template.HTML(svg)})
+	}
+	return s, nil
+}
+
+var pageTemplate = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>lovageyard: how requests ended</title>
+<style>
+body { font-family: sans-serif; margin: 2em; max-width: 70em; }
+table { border-collapse: collapse; margin: 1em 0; }
+td, th { padding: 0.15em 0.8em; text-align: right; border-bottom: 1px solid #ddd; }
+td:first-child, th:first-child { text-align: left; }
+</style>
+</head>
+<body>
+<h1>How requests ended</h1>
+<p>{{.First.Format "2006-01-02 15:04:05"}} to {{.Last.Format "2006-01-02 15:04:05"}} UTC, bins of {{.Bin}}: {{.Requests}} requests; {{.Bad}} lines were not understood.
+Times are those of the entry instances, without the way to the client. Dashed lines are changes of what instances believe.</p>
+{{.Overview}}
+{{range .Sections}}<h2>By {{.Title}}</h2>
+<table><tr><th>{{.Title}}</th><th>requests</th><th>in time</th><th>late</th><th>refused</th><th>failed, rejected or client gone</th></tr>
+{{range .Totals}}<tr><td>{{.Name}}</td><td>{{.Requests}}</td><td>{{.InTime}}</td><td>{{.Late}}</td><td>{{.Refused}}</td><td>{{.Other}}</td></tr>
+{{end}}</table>
+{{range .Charts}}<h3>{{.Name}}</h3>
+{{.SVG}}
+{{end}}{{end}}<h2>Changes of belief</h2>
+{{if .DroppedMarks}}<p>{{.DroppedMarks}} more are not shown.</p>{{end}}
+<table><tr><th>first seen</th><th>change</th><th>instances</th></tr>
+{{range .Marks}}<tr><td>{{.First.UTC.Format "15:04:05.000"}}</td><td>{{.Text}}</td><td>{{.Instances}}</td></tr>
+{{end}}</table>
+</body>
+</html>
+`))
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -128,6 +128,7 @@
 	e.serveAll(sockets)
 	logger.WithFields(logrus.Fields{
 		"failure-domain":  self.FailureDomain,
+		"region":          self.Region,
 		"caller-address":  self.CallerAddress,
 		"peer-address":    self.PeerAddress,
 		"ready-address":   sockets.ready.Addr().String(),
