--- /dev/null
+++ b/dispatch/census.go
@@ -0,0 +1,32 @@
+package dispatch
+
+import "time"
+
+// Census counts what the table holds, for metrics.
+type Census struct {
+	Servers  int
+	Suspects int
+	InFlight int
+	// Elsewhere is, for each service, the share of the region's requests that runs in other regions.
+	Elsewhere map[string]float64
+}
+
+// Census returns the counts at a time.
+func (t *Table) Census(now time.Time) Census {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := Census{Elsewhere: make(map[string]float64)}
+	for name, s := range t.services {
+		if s.spill != nil {
+			c.Elsewhere[name] = s.spill.share
+		}
+	}
+	for _, one := range t.servers {
+		c.Servers++
+		c.InFlight += one.inFlight
+		if one.isSuspect(now) {
+			c.Suspects++
+		}
+	}
+	return c
+}
