One relay in each failure domain, followed with that of a neighbouring domain

Two relays a domain were for one that falls silent. Change: an instance follows the relay of its own domain and that of the next domain of its region, so that each row still comes from two places; a domain that is alone in its region keeps two. The test of two domains fails before (four calls a change) and passes with two.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -63,6 +64,8 @@
 	address string
 	network *network
 	clients map[string]*platform.Store
+	// domains are the failure domains of instances that are not in north-1.
+	domains map[string]string
 }
 
 func newGroup(t *testing.T) *group {
@@ -115,7 +118,7 @@
 func (g *group) startOn(name string, life int64, feed lovageyard.Feed, registrar fleet.Registrar, seeds ...string) *fleet.Control {
 	control := fleet.New(fleet.Settings{
 		Self: lovageyard.EntryInstance{
-			Name: name, Life: life, FailureDomain: "north-1", Region: "north",
+			Name: name, Life: life, FailureDomain: cmp.Or(g.domains[name], "north-1"), Region: "north",
 			CallerAddress: name + ":1", PeerAddress: name + ":2", State: lovageyard.StateLive,
 		},
 		Feed: feed, Registrar: registrar, Decoder: platform.Decoder{}, Peers: peers{network: g.network, self: name + ":2"},
@@ -175,10 +178,23 @@
 
 // Two of many watch the platform for the rest, also after one of them has gone.
 func TestRelaysWatchThePlatformForTheRest(t *testing.T) {
+	testRelays(newGroup(t), 4)
+}
+
+// In a region of two failure domains one instance of each watches.
+func TestEachFailureDomainOfARegionHasOneRelay(t *testing.T) {
 	g := newGroup(t)
+	g.domains = map[string]string{"entry-0": "north-2", "entry-1": "north-2", "entry-2": "north-2"}
+	testRelays(g, 2)
+}
+
+// testRelays starts six instances and waits until a change costs a few calls at most.
+func testRelays(g *group, most int) {
 	const count = 6
 	for i := range count {
-		g.start(fmt.Sprint("entry-", i), 1, g.address)
+		name := fmt.Sprint("entry-", i)
+		g.start(name, 1, g.address)
+		defer g.stop(name)
 	}
 	controls := g.network.instances
 	g.until("all live", func() bool {
@@ -199,16 +215,14 @@
 			g.until("the change", func() bool { return version(control) == next })
 		}
 		next++
+		// Longer than the pauses between calls, so that all that watch have called again.
+		time.Sleep(1500 * time.Millisecond)
 		return g.store.Watches() - before
 	}
 	g.until("few calls for a change", func() bool {
 		calls := change()
-		time.Sleep(300 * time.Millisecond)
-		return calls <= 4
+		return calls <= most
 	})
-	for name := range controls {
-		defer g.stop(name[:len(name)-2])
-	}
 }
 
 // An instance that the platform turns away serves by what its peers tell it.
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -10,10 +10,12 @@
 	"lovageyard.example/lovageyard/peer/wire"
 )
 
-// In each failure domain a few instances, the relays, watch the platform's tables for the
-// rest, which wait at each of them for rows that they lack: calls to the platform grow with
-// the failure domains and not with the instances. A wrong view of who relays costs calls,
-// never rows: whoever follows no relay that reads the platform watches the platform itself.
+// In each failure domain one instance, the relay, watches the platform's tables for the rest,
+// which wait at it, and at the relay of another domain of their region, for rows that they
+// lack: calls to the platform grow with the failure domains and not with the instances, and a
+// relay that falls silent delays no row. A domain that is alone in its region has two relays.
+// A wrong view of who relays costs calls, never rows: whoever follows no relay that reads the
+// platform watches the platform itself.
 
 // followFor is how long a call to a relay waits for rows.
 const followFor = 20 * time.Second
@@ -24,10 +26,43 @@
 	sound bool
 }
 
-// relayAddresses returns the addresses of the relays of the own failure domain, or none if
-// this instance is one of them.
+// relayNames returns the relays that instances of the own failure domain follow.
+func (c *Control) relayNames() []string {
+	own := c.members.Relays(c.self.FailureDomain)
+	if len(own) == 0 {
+		return nil
+	}
+	if other := c.members.Relays(c.nextDomain()); len(other) > 0 {
+		return []string{own[0], other[0]}
+	}
+	return own
+}
+
+// nextDomain returns the failure domain of the region that comes after the own one in the
+// order of their names, or "" if there is no other.
+func (c *Control) nextDomain() string {
+	var domains []string
+	for _, m := range c.inRegion(c.members.Live()) {
+		if m.FailureDomain != c.self.FailureDomain {
+			domains = append(domains, m.FailureDomain)
+		}
+	}
+	if len(domains) == 0 {
+		return ""
+	}
+	slices.Sort(domains)
+	for _, domain := range domains {
+		if domain > c.self.FailureDomain {
+			return domain
+		}
+	}
+	return domains[0]
+}
+
+// relayAddresses returns the addresses of the relays to follow, or none if this instance is
+// a relay itself.
 func (c *Control) relayAddresses() []string {
-	relays := c.members.Relays(c.self.FailureDomain)
+	relays := c.relayNames()
 	if slices.Contains(relays, c.self.Name) {
 		return nil
 	}
