--- a/dispatch/bounds_test.go
+++ b/dispatch/bounds_test.go
@@ -94,3 +94,32 @@
 	}
 	c.Assert(counts, qt.DeepEquals, map[string]int{"a": 180, "b": 20})
 }
+
+// Whatever the bound, work that leaves uses 0.4 of it in any window, and work that returns a
+// tenth of that.
+func TestShareMovesInProportionToTheBound(t *testing.T) {
+	for _, bound := range []ShiftBound{
+		{Largest: 0.05, Window: 2 * time.Second},
+		{Largest: 0.15, Window: 2 * time.Second},
+		{Largest: 0.3, Window: 5 * time.Second},
+	} {
+		t.Run(fmt.Sprint(bound), func(t *testing.T) {
+			c := qt.New(t)
+			const wishes = 200
+			var s spill
+			move := func(elsewhere bool, from time.Time) float64 {
+				before := s.share
+				for i := range wishes {
+					s.wish(elsewhere, bound, from.Add(bound.Window*time.Duration(i+1)/wishes))
+				}
+				return s.share - before
+			}
+			s.wish(false, bound, start)
+			left := move(true, start)
+			c.Assert(left <= 0.4*bound.Largest+1e-9, qt.IsTrue, qt.Commentf("%f", left))
+			c.Assert(left >= 0.3*bound.Largest, qt.IsTrue, qt.Commentf("%f", left))
+			returned := -move(false, start.Add(bound.Window))
+			c.Assert(returned <= 0.04*bound.Largest+1e-9, qt.IsTrue, qt.Commentf("%f", returned))
+		})
+	}
+}
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -9,9 +9,9 @@
 // other regions' homes that is first in that order, unless it is much later. Between the own
 // region and the others the estimated completion time decides (distance, wait for a slot,
 // work, speed and failures of late), and the share of work that leaves the region follows it
-// slowly. Work waits in the
-// servers' own queues, which never idle while there is work; a request is refused at once
-// if its home is full or can't answer in time.
+// slowly, and more slowly still on its way back, as each object that moves runs cold once.
+// Work waits in the servers' own queues, which never idle while there is work; a request is
+// refused at once if its home is full or can't answer in time.
 //
 // What all instances share is divided among them: the bound on requests to a cold server,
 // and the budget of repeats.
