--- a/lovageyard/report.go
+++ b/lovageyard/report.go
@@ -10,8 +10,9 @@
 	"github.com/pkg/errors"
 )
 
-// maxSiteCharts bounds the charts of sites; the table lists all.
-const maxSiteCharts = 12
+// maxCharts bounds the charts of one dimension, those with most requests that were not answered
+// in time first; the tables list all names.
+const maxCharts = 12
 
 type reportCommand struct {
 	Files []string      `arg:"" optional:"" help:"Log files of entry instances; standard input if there are none."`
@@ -104,7 +105,7 @@
 func (t *tally) section(dimension string) (section, error) {
 	s := section{Title: dimension, Totals: t.totals(dimension)}
 	for i, sum := range s.Totals {
-		if dimension == bySite && i >= maxSiteCharts {
+		if i >= maxCharts {
 			break
 		}
 		svg, err := t.chart(dimension, sum.Name)
