A small region's work begins with more of it elsewhere

Cause: at its start an instance lets leave what the region can't run if 0.7 of all slots are busy. They are nearly all busy then (cold objects), and the first wave of requests rises faster than work may leave.

--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -97,6 +97,8 @@
 	// regions' waves follow each other. 0 means a steady rate.
 	swing  float64
 	period time.Duration
+	// demand is the part of all requests that each region's instances take to be its own at first.
+	demand float64
 	seed   uint64
 }
 
@@ -336,7 +338,7 @@
 	for i := range len(regions) * m.instances {
 		region := regions[i/m.instances]
 		table := dispatch.NewTable(dispatch.Settings{
-			Self: fmt.Sprint(i), FailureDomain: region + "-1", Region: region, Seed: uint64(i),
+			Self: fmt.Sprint(i), FailureDomain: region + "-1", Region: region, Seed: uint64(i), Demand: m.demand,
 			Bounds: dispatch.Bounds{
 				Retries: dispatch.RetryBound{Window: 10 * time.Second},
 				Shift:   dispatch.ShiftBound{Largest: 0.15, Window: 2 * time.Second},
@@ -464,3 +466,26 @@
 		c.Check(m.largestShift() <= 0.15, qt.IsTrue)
 	}
 }
+
+// Work of a small region that begins at home must leave before the first wave has risen, or it is
+// refused: with slots taken to be 0.7 busy at first 0.939 are answered in goal, on average of
+// these seeds, and about 0.916 if all begin at home.
+func TestSmallRegionsWorkBeginsElsewhere(t *testing.T) {
+	c := qt.New(t)
+	const seeds = 8
+	sum := 0.0
+	for seed := range uint64(seeds) {
+		l := recipes
+		l.span = 12 * time.Second
+		l.demand = 1.0 / 3
+		l.seed = seed
+		m := newModel(l)
+		got := m.play(byTable(m))
+		refused := float64(m.refused) / float64(m.asked)
+		t.Logf("in goal %.3f, refused %.4f, largest shift %.3f", got, refused, m.largestShift())
+		c.Check(m.largestShift() <= 0.15, qt.IsTrue)
+		sum += got
+	}
+	t.Logf("in goal on average: %.4f", sum/seeds)
+	c.Check(sum/seeds >= 0.9405, qt.IsTrue)
+}
--- a/dispatch/spill.go
+++ b/dispatch/spill.go
@@ -17,8 +17,10 @@
 )
 
 // usualLoad is the part of all slots that is taken to be busy when an instance starts and
-// knows no better.
-const usualLoad = 0.7
+// knows no better. Slots are nearly all busy then, as every object runs cold once; with 0.7 a small
+// region was short of room for the first wave of requests: 0.939 in goal instead of 0.942 in the
+// first 12 s, mean of eight plays of the model.
+const usualLoad = 0.9
 
 // ShiftBound is the largest share of a region's requests that may change the region in which
 // they run from one window to the next.
