--- a/dispatch/spill.go
+++ b/dispatch/spill.go
@@ -23,7 +23,7 @@
 const usualLoad = 0.9
 
 // ShiftBound is the largest share of a region's requests that may change the region in which
-// they run from one window to the next.
+// they run from one window to the next; Window is above 0.
 type ShiftBound struct {
 	Largest float64
 	Window  time.Duration
--- a/lovageyard/tally.go
+++ b/lovageyard/tally.go
@@ -52,14 +52,20 @@
 
 // tally counts the requests of logs by time, class, region and site.
 type tally struct {
-	width   time.Duration
-	counts  map[countKey]map[int64]int
-	names   map[string]map[string]bool
+	// width is that of a bin of time; bins are numbered since 1970.
+	width  time.Duration
+	counts map[countKey]map[int64]int
+	// names holds the names of each dimension that are kept apart.
+	names map[string]map[string]bool
+	// regions holds the region of each instance whose start was in the logs.
 	regions map[string]string
-	marks   map[int64]map[string]*mark
-	// Requests counts the requests, and dropped the marks beyond maxMarks.
-	requests, dropped int
-	first, last       time.Time
+	// marks holds the changes of each bin, by their text.
+	marks map[int64]map[string]*mark
+	// requests counts the requests.
+	requests int
+	// dropped counts the changes beyond maxMarks.
+	dropped     int
+	first, last time.Time
 }
 
 func newTally(width time.Duration) *tally {
