Metrics tell what rows cost between instances, and why calls fail

Change: peer-rows-known, peer-bytes, causes of peer-failures and platform-failures. Conclusion: enough to tell the hypotheses apart.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -130,10 +130,16 @@
 	}
 }
 
+// Knows says whether a row, or a newer one of its key, was taken in before.
+func (s *State) Knows(r lovageyard.Row) bool {
+	known, found := s.rows[r.Table][r.Key]
+	return found && known.Version >= r.Version
+}
+
 func (s *State) applyRows(rows []lovageyard.Row, now time.Time) []Fault {
 	var faults []Fault
 	for _, r := range rows {
-		if known, found := s.rows[r.Table][r.Key]; found && known.Version >= r.Version {
+		if s.Knows(r) {
 			continue
 		}
 		record, err := s.decoder.Decode(r)
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -143,10 +143,10 @@
 }
 
 func (c *Control) feedFailed(m heard, now time.Time) {
-	c.settings.Metrics.Count(meter.PlatformFailures, m.table)
 	if errors.Is(m.err, lovageyard.ErrHistoryLost) {
 		return
 	}
+	c.settings.Metrics.Count(meter.PlatformFailures, m.table, causeOf(m.err))
 	c.state.Lost(m.table)
 	defer c.answerWaiters(now)
 	if _, found := c.failing[m.table]; found {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -137,7 +137,9 @@
 	if before != f.sound {
 		c.settings.Logger.WithField("relay", m.address).WithField("sound", f.sound).Info("relay judged anew")
 	}
-	if m.err == nil {
+	if m.err != nil {
+		c.peerFailed(m.address, m.err)
+	} else {
 		now := c.settings.Timer.Now()
 		c.hear(m.reply.GetFrom(), m.reply.GetPulses(), now)
 		for _, t := range m.reply.GetChanges() {
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/instance"
 	"lovageyard.example/lovageyard/meter"
@@ -155,8 +159,7 @@
 
 func (m shared) Apply(c *Control) {
 	if m.err != nil {
-		c.settings.Metrics.Count(meter.PeerFailures)
-		c.settings.Logger.WithError(m.err).Debug("a peer did not answer")
+		c.peerFailed(m.address, m.err)
 		return
 	}
 	c.settings.Metrics.Count(meter.PeerExchanges)
@@ -167,6 +170,27 @@
 	}
 }
 
+// peerFailed notes that an exchange with a peer failed.
+func (c *Control) peerFailed(address string, err error) {
+	c.settings.Metrics.Count(meter.PeerFailures, causeOf(err))
+	c.settings.Logger.WithError(err).WithField("peer", address).Debug("a peer did not answer")
+}
+
+// Causes of failed calls in metrics.
+const (
+	causeTimeout = "timeout"
+	causeOther   = "other"
+)
+
+// causeOf tells calls that were given up for time from others.
+func causeOf(err error) string {
+	var failed net.Error
+	if errors.Is(err, context.DeadlineExceeded) || errors.As(err, &failed) && failed.Timeout() {
+		return causeTimeout
+	}
+	return causeOther
+}
+
 func (c *Control) hear(from *wire.Member, pulses []*wire.Pulse, now time.Time) {
 	live := len(c.members.Live())
 	if from.GetInstance() != "" {
@@ -227,7 +251,7 @@
 			Deleted: r.GetDeleted(),
 		})
 	}
-	c.settings.Metrics.Add(meter.PeerRows, len(changes.Rows), t.GetTable())
+	c.countRows(t, changes.Rows)
 	applied, faults := c.state.ApplyChanges(t.GetTable(), changes, now)
 	c.logFaults(faults)
 	if applied && len(changes.Rows) > 0 {
@@ -235,6 +259,19 @@
 	}
 }
 
+// countRows counts the rows that a peer has sent.
+func (c *Control) countRows(t *wire.TableChanges, rows []lovageyard.Row) {
+	known := 0
+	for _, r := range rows {
+		if c.state.Knows(r) {
+			known++
+		}
+	}
+	c.settings.Metrics.Add(meter.PeerRows, len(rows), t.GetTable())
+	c.settings.Metrics.Add(meter.PeerRowsKnown, known, t.GetTable())
+	c.settings.Metrics.Add(meter.PeerBytes, proto.Size(t), t.GetTable())
+}
+
 // Share answers an exchange that a peer began.
 func (c *Control) Share(ctx context.Context, r *wire.ShareRequest) (*wire.ShareReply, error) {
 	answer := make(chan *wire.ShareReply, 1)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -48,11 +48,13 @@
 	ConfigurationAge  = Metric{"configuration-age", Gauge, nil, "milliseconds since the configuration came into force"}
 	InstancesLive     = Metric{"instances-live", Gauge, nil, "entry instances that are believed to take work"}
 	PlatformReads     = Metric{"platform-reads", Counter, []string{"table"}, "calls that read the platform"}
-	PlatformFailures  = Metric{"platform-failures", Counter, []string{"table"}, "calls that failed, lost history left out"}
+	PlatformFailures  = Metric{"platform-failures", Counter, []string{"table", "cause"}, "calls that failed, by timeout or for other reasons, lost history left out"}
 	PlatformWrites    = Metric{"platform-writes", Counter, nil, "transactions on instances' rows"}
 	PeerExchanges     = Metric{"peer-exchanges", Counter, nil, "exchanges with other instances that were answered"}
-	PeerFailures      = Metric{"peer-failures", Counter, nil, "exchanges with other instances that failed"}
+	PeerFailures      = Metric{"peer-failures", Counter, []string{"cause"}, "exchanges with other instances that failed, by timeout or for other reasons"}
 	PeerRows          = Metric{"peer-rows", Counter, []string{"table"}, "rows of the platform heard from other instances"}
+	PeerRowsKnown     = Metric{"peer-rows-known", Counter, []string{"table"}, "rows among these that were known already"}
+	PeerBytes         = Metric{"peer-bytes", Counter, []string{"table"}, "bytes of these rows as they were sent"}
 	LogDroppedRoutine = Metric{"log-dropped-routine", Gauge, nil, "log lines on requests that went well, dropped since the start"}
 	LogDroppedOther   = Metric{"log-dropped-other", Gauge, nil, "other log lines dropped since the start"}
 )
@@ -62,7 +64,8 @@
 	return []Metric{
 		Answers, Refusals, Latency, ExpectedWait, Sends, Repeats, RepeatsDenied, ColdSends, ShareElsewhere, InFlight,
 		ServersKnown, ServersSuspect, Connections, ConfigurationNow, ConfigurationAge, InstancesLive,
-		PlatformReads, PlatformFailures, PlatformWrites, PeerExchanges, PeerFailures, PeerRows,
+		PlatformReads, PlatformFailures, PlatformWrites, PeerExchanges, PeerFailures,
+		PeerRows, PeerRowsKnown, PeerBytes,
 		LogDroppedRoutine, LogDroppedOther,
 	}
 }
