--- a/instance.go
+++ b/instance.go
@@ -28,7 +28,10 @@
 
 // BackendServer is one instance that runs a service, as the platform lists it.
 type BackendServer struct {
-	Name          string        `json:"server"`
+	Name string `json:"server"`
+	// Life is when the server started by its own clock, in Unix milliseconds, or 0 if it does not
+	// tell. It only tells lives apart: which of two is the later one, the platform's versions say.
+	Life          int64         `json:"life,omitzero"`
 	Service       string        `json:"service"`
 	Site          string        `json:"site"`
 	FailureDomain string        `json:"failure-domain"`
--- a/steering.go
+++ b/steering.go
@@ -82,6 +82,22 @@
 	Instance      *EntryInstance
 }
 
+// FieldError says which field of a row is wrong.
+type FieldError struct {
+	// Field is the platform's name of the field, or "" for the whole row.
+	Field string
+	// Reason says what is wrong, with the value cut at a bounded length.
+	Reason string
+}
+
+// Error names the field.
+func (e *FieldError) Error() string {
+	if e.Field == "" {
+		return e.Reason
+	}
+	return e.Field + ": " + e.Reason
+}
+
 // DomainDrain orders that a failure domain's servers get no work until it is removed.
 type DomainDrain struct {
 	FailureDomain string
