Servers live more than once under one name; entries of other writers name none

Change: an entry is checked field by field where it is decoded, as are its keys, depth, encoding and size; the newest entry that can't be understood takes its server out of use, is passed on to peers as any row, told once and counted by field; a server's start tells its lives apart, ordered by the platform's versions: a new life is cold, not leaving, judged anew in dispatch, and has connections of its own in link. An entry without its start, after one with it, is another program's. A value that is not encoded spoils its row only. Configuration and drains keep the last good value.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -30,6 +30,8 @@
 	members map[string]lovageyard.EntryInstance
 	// undrained is when a failure domain was taken back after a drain.
 	undrained map[string]time.Time
+	// faulty holds the versions of the newest rows that could not be decoded.
+	faulty map[string]map[string]int64
 	// older holds the values that large rows had before, oldest first, so that a peer that holds
 	// one of them can be sent the difference.
 	older map[string]map[string][]lovageyard.Row
@@ -44,9 +46,12 @@
 	coldUntil time.Time
 	// lapsesAt is when an entry that was removed around an outage is given up; zero for others.
 	lapsesAt time.Time
+	// unusable says that the newest entry names no server to use, though the one before did.
+	unusable bool
 }
 
-// Fault is a row that could not be decoded; the last good state stays in force.
+// Fault is a row that could not be decoded. An entry of a server or of an instance then names
+// none; the last good configuration and drains stay in force.
 type Fault struct {
 	Row lovageyard.Row
 	Err error
@@ -63,10 +68,12 @@
 		drains:    make(map[string]bool),
 		members:   make(map[string]lovageyard.EntryInstance),
 		undrained: make(map[string]time.Time),
+		faulty:    make(map[string]map[string]int64),
 		older:     make(map[string]map[string][]lovageyard.Row),
 	}
 	for _, table := range lovageyard.FollowedTables() {
 		s.rows[table] = make(map[string]lovageyard.Row)
+		s.faulty[table] = make(map[string]int64)
 		s.older[table] = make(map[string][]lovageyard.Row)
 	}
 	return s
@@ -147,11 +154,14 @@
 		if s.Knows(r) {
 			continue
 		}
-		record, err := s.decoder.Decode(r)
+		record, err := s.decode(r)
 		if err != nil {
-			faults = append(faults, Fault{Row: r, Err: err})
+			if s.passOver(r) {
+				faults = append(faults, Fault{Row: r, Err: err})
+			}
 			continue
 		}
+		delete(s.faulty[r.Table], r.Key)
 		s.keepOlder(r)
 		s.rows[r.Table][r.Key] = r
 		s.apply(record, now)
@@ -196,19 +206,17 @@
 		return
 	}
 	cold := r.Server.ColdFor.Std()
-	if known == nil {
+	if known == nil || known.Life != 0 && known.Life != r.Server.Life {
 		known = &server{}
 		s.servers[r.Key] = known
-		if s.cursors[lovageyard.TableServers] > 0 && s.config != nil {
-			// It has joined just now, whatever its entry says.
-			cold = max(cold, s.config.Services[r.Server.Service].ColdFor)
-		}
+		cold = max(cold, s.coldOnJoining(r.Server.Service))
 	}
 	leaving := known.State == lovageyard.StateLeaving
 	known.BackendServer = *r.Server
 	known.lapsesAt = time.Time{}
+	known.unusable = false
 	if leaving {
-		// A server that has said that it leaves never comes back under its name.
+		// A life that has said that it leaves never takes that back.
 		known.State = lovageyard.StateLeaving
 	}
 	if until := now.Add(cold); cold > 0 && until.After(known.coldUntil) {
@@ -216,12 +224,21 @@
 	}
 }
 
+// coldOnJoining returns how long a server is to be spared that has just joined, whatever its
+// entry says; servers of the first table that is read have been there before.
+func (s *State) coldOnJoining(service string) time.Duration {
+	if s.cursors[lovageyard.TableServers] == 0 || s.config == nil {
+		return 0
+	}
+	return s.config.Services[service].ColdFor
+}
+
 // removeServer drops a server, or waits a little if its entry may only have lapsed.
 func (s *State) removeServer(known *server, now time.Time) {
 	if known == nil {
 		return
 	}
-	if s.outage && known.State == lovageyard.StateLive {
+	if s.outage && known.State == lovageyard.StateLive && !known.unusable {
 		known.lapsesAt = now.Add(lapseGrace)
 		return
 	}
@@ -288,6 +305,9 @@
 		matcher:       newMatcher(s.config),
 	}
 	for _, known := range s.servers {
+		if known.unusable {
+			continue
+		}
 		view.Servers = append(view.Servers, Server{
 			BackendServer: known.BackendServer,
 			ColdUntil:     s.coldUntil(known),
--- a/dispatch/choose_test.go
+++ b/dispatch/choose_test.go
@@ -269,3 +269,37 @@
 	y.c.Assert(choice.Refused, qt.IsTrue)
 	y.c.Assert(choice.Reason, qt.Equals, "the deadline can't be met")
 }
+
+// A server that starts again under its name has nothing of what was learnt of it: it is judged,
+// loaded and warmed as a new one, and what is still under way at the old life ends there.
+func TestNewLifeOfAServerIsJudgedAnew(t *testing.T) {
+	y := newYard(t)
+	y.view.Servers = y.view.Servers[:1]
+	y.view.Servers[0].Life = 100
+	y.table.SetCatalog(y.view)
+	var held []dispatch.Choice
+	for {
+		choice := y.choose("k")
+		if choice.Refused {
+			break
+		}
+		held = append(held, choice)
+	}
+	y.c.Assert(len(held) > 1, qt.IsTrue)
+	next := *y.view
+	next.Servers = []catalog.Server{y.view.Servers[0]}
+	next.Servers[0].Life = 200
+	y.table.SetCatalog(&next)
+	choice := y.choose("k")
+	y.c.Assert(choice.Refused, qt.IsFalse)
+	y.c.Assert(choice.Server.Life, qt.Equals, int64(200))
+	y.c.Assert(choice.Wait, qt.Equals, time.Duration(0))
+	// The end of requests at the old life teaches nothing about the new one.
+	for _, h := range held {
+		y.done(h, dispatch.Outcome{Failed: true})
+	}
+	y.done(choice, dispatch.Outcome{Answered: true})
+	for range held {
+		y.c.Assert(y.choose("k").Refused, qt.IsFalse)
+	}
+}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -203,7 +203,9 @@
 
 func (t *Table) setServer(listed catalog.Server) {
 	known := t.servers[listed.Name]
-	if known == nil {
+	if known == nil || known.Life != 0 && known.Life != listed.Life {
+		// A server that has started anew has lost its caches, its queue and its faults. Attempts
+		// at the life before keep their own record of it, which nobody looks at any more.
 		t.servers[listed.Name] = newServer(listed)
 		return
 	}
@@ -305,15 +307,6 @@
 	t.distances[domain] = known + (took-known)/distanceCreep
 }
 
-// Leave notes that a server said that it takes no new work.
-func (t *Table) Leave(name string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.servers[name]; s != nil {
-		s.gone = true
-	}
-}
-
 func objectOf(route *lovageyard.Route, key string) uint64 {
 	if key == "" {
 		return 0
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -101,7 +101,7 @@
 	state.ApplyList(lovageyard.TableOrders, lovageyard.Changes{To: 1, Rows: []lovageyard.Row{
 		{Table: lovageyard.TableOrders, Key: "config", Version: 1, Value: value},
 	}}, time.Now())
-	server := `{"Addr":"127.0.0.1:9","Info":{"Service":"desk","Zone":"north-1","Slots":4},"Status":{"State":"ready"}}`
+	server := `{"Addr":"127.0.0.1:9","Info":{"Service":"desk","Version":"v1","Zone":"north-1","Slots":4},"Status":{"State":"ready","Sequence":1,"ColdLeftMs":0}}`
 	state.ApplyList(lovageyard.TableServers, lovageyard.Changes{To: 1, Rows: []lovageyard.Row{
 		{Table: lovageyard.TableServers, Key: "i-1", Version: 1, Value: []byte(server)},
 		{Table: lovageyard.TableServers, Key: "i-2", Version: 1, Value: []byte(server)},
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -155,6 +155,7 @@
 		Idempotent:    x.route.Idempotent,
 		MayResend:     x.spendRepeat,
 		Server:        choice.Server.Name,
+		Life:          choice.Server.Life,
 		ServerAddress: choice.Server.Address,
 	}
 }
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -156,9 +156,22 @@
 	c.settings.Logger.WithError(m.err).WithField("table", m.table).Warn("platform lost")
 }
 
+// logFaults tells of rows that are passed over; each version of a row is told once.
 func (c *Control) logFaults(faults []catalog.Fault) {
 	for _, f := range faults {
-		c.settings.Logger.WithError(f.Err).Warn("a row is not understood; the last good state stays in force")
+		field := "row"
+		var wrong *lovageyard.FieldError
+		if errors.As(f.Err, &wrong) && wrong.Field != "" {
+			field = wrong.Field
+		}
+		c.settings.Metrics.Count(meter.RowsPassedOver, f.Row.Table, field)
+		c.settings.Logger.WithFields(logrus.Fields{
+			"table":       f.Row.Table,
+			"key":         f.Row.Key,
+			"row-version": f.Row.Version,
+			"field":       field,
+			"reason":      f.Err.Error(),
+		}).Warn("a row is passed over")
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -276,7 +277,7 @@
 	g := newGroup(t)
 	control := g.start("entry-0", 1, g.address)
 	defer g.stop("entry-0")
-	g.store.PutServer(lovageyard.BackendServer{Name: "i-1", Service: "desk", Address: "127.0.0.1:9", State: lovageyard.StateLive})
+	g.store.PutServer(lovageyard.BackendServer{Name: "i-1", Service: "desk", Address: "127.0.0.1:9", Slots: 4, State: lovageyard.StateLive})
 	g.until("the server", func() bool { return len(control.View().Servers) == 1 })
 	g.store.SetTrouble(fake.Trouble{Status: 503})
 	g.store.Drain("north-9")
@@ -285,3 +286,43 @@
 	g.until("the drain", func() bool { return control.View().Drained["north-9"] })
 	g.c.Assert(control.View().Servers, qt.HasLen, 1)
 }
+
+// What another program writes into the servers' table stops nothing, here or at peers.
+func TestEntryOfAnotherWriterLeavesTheOthersInUse(t *testing.T) {
+	g := newGroup(t)
+	first := g.start("entry-0", 1, g.address)
+	defer g.stop("entry-0")
+	// This one hears rows from the other only.
+	second := g.start("entry-1", 1, "127.0.0.1:1", "entry-0:2")
+	defer g.stop("entry-1")
+	good := func(name string, slots int) lovageyard.BackendServer {
+		return lovageyard.BackendServer{
+			Name: name, Service: "desk", FailureDomain: "north-1", Address: "127.0.0.1:9", Slots: slots, Life: 5, State: lovageyard.StateLive,
+		}
+	}
+	untilServers := func(what string, want ...string) {
+		for _, control := range []*fleet.Control{first, second} {
+			g.until(what, func() bool {
+				var names []string
+				for _, s := range control.View().Servers {
+					names = append(names, s.Name)
+				}
+				return slices.Equal(names, want)
+			})
+		}
+	}
+	g.store.PutServer(good("i-1", 4))
+	g.store.PutServer(good("i-2", 4))
+	untilServers("both", "i-1", "i-2")
+	reads := g.store.Calls("/rows-get")
+	g.store.Put("servers", "i-1", []any{"not an entry"})
+	untilServers("without the one that can't be read", "i-2")
+	g.store.PutServer(good("i-3", 4))
+	untilServers("one more", "i-2", "i-3")
+	g.store.PutServer(good("i-1", 4))
+	untilServers("all", "i-1", "i-2", "i-3")
+	g.store.PutServer(good("i-2", -4))
+	untilServers("without the one with slots below 0", "i-1", "i-3")
+	// No table was read again for it.
+	g.c.Assert(g.store.Calls("/rows-get"), qt.Equals, reads)
+}
--- a/link/link.go
+++ b/link/link.go
@@ -60,11 +60,26 @@
 	Idempotent bool
 	// MayResend says whether the budget of repeats has room for sending the request once
 	// more; nil means that it is not sent again.
-	MayResend     func() bool
+	MayResend func() bool
+	// Server is the server's name, and Life when this life of it started; see
+	// lovageyard.BackendServer.
 	Server        string
+	Life          int64
 	ServerAddress string
 }
 
+// peer returns what the request's connections lead to.
+func (r Request) peer() peer {
+	return peer{server: r.Server, life: r.Life, address: r.ServerAddress}
+}
+
+// peer is one life of a server at one address.
+type peer struct {
+	server  string
+	life    int64
+	address string
+}
+
 // Answer is a whole answer of a backend server.
 type Answer struct {
 	Status int
@@ -81,14 +96,14 @@
 	timer lovageyard.Timer
 
 	mu     sync.Mutex
-	idle   map[string][]*conn
+	idle   map[peer][]*conn
 	closed bool
 	opened int64
 }
 
 // New returns a Link without connections.
 func New(c Codec, t lovageyard.Timer) *Link {
-	return &Link{codec: c, timer: t, idle: make(map[string][]*conn)}
+	return &Link{codec: c, timer: t, idle: make(map[peer][]*conn)}
 }
 
 // Send makes one attempt. The error is a *lovageyard.RequestError. When ctx ends, the
@@ -144,7 +159,7 @@
 	untouched := stop()
 	if err == nil {
 		if reusable && untouched {
-			l.give(c, r.Server, answer.Header)
+			l.give(c, r.peer(), answer.Header)
 		} else {
 			c.Close()
 		}
@@ -271,7 +286,7 @@
 	}
 	now := l.timer.Now()
 	for {
-		c := l.pop(r.Server)
+		c := l.pop(r.peer())
 		if c == nil {
 			return nil
 		}
@@ -282,21 +297,21 @@
 	}
 }
 
-func (l *Link) pop(server string) *conn {
+func (l *Link) pop(p peer) *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list := l.idle[server]
+	list := l.idle[p]
 	if len(list) == 0 {
 		return nil
 	}
 	// The one used last has been idle for the shortest time.
 	c := list[len(list)-1]
-	l.idle[server] = list[:len(list)-1]
+	l.idle[p] = list[:len(list)-1]
 	return c
 }
 
 // give keeps a connection whose answer has ended for reuse.
-func (l *Link) give(c *conn, server string, header http.Header) {
+func (l *Link) give(c *conn, p peer, header http.Header) {
 	c.keep(header, l.timer.Now())
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -304,24 +319,29 @@
 		c.Close()
 		return
 	}
-	l.idle[server] = append(l.idle[server], c)
+	l.idle[p] = append(l.idle[p], c)
 }
 
 // Forget closes the idle connections to a server.
 func (l *Link) Forget(server string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, c := range l.idle[server] {
-		c.Close()
+	for p, list := range l.idle {
+		if p.server != server {
+			continue
+		}
+		for _, c := range list {
+			c.Close()
+		}
+		delete(l.idle, p)
 	}
-	delete(l.idle, server)
 }
 
 // Expire closes connections that have been idle for too long to be reused.
 func (l *Link) Expire(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for server, list := range l.idle {
+	for p, list := range l.idle {
 		kept := list[:0]
 		for _, c := range list {
 			if c.reusable(now, longestIdle) {
@@ -330,9 +350,9 @@
 			}
 			c.Close()
 		}
-		l.idle[server] = kept
+		l.idle[p] = kept
 		if len(kept) == 0 {
-			delete(l.idle, server)
+			delete(l.idle, p)
 		}
 	}
 }
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -335,3 +335,23 @@
 		c.Fatal("the connection stayed open")
 	}
 }
+
+// A server that has started again under its name, perhaps at another address, does not know the
+// connections of the life before; another server may answer at their other end.
+func TestConnectionsEndWithTheLifeOfTheirServer(t *testing.T) {
+	c := qt.New(t)
+	before := newBackendServer(c, answer("1", "one"), answer("2", "the life before"))
+	after := newBackendServer(c, answer("2", "two"))
+	l := newLink(c)
+	r := request(before, "1", true)
+	r.Life = 100
+	_, err := send(c, l, r)
+	c.Assert(err, qt.IsNil)
+	r = request(after, "2", true)
+	r.Life = 200
+	second, err := send(c, l, r)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(second.Body), qt.Equals, "two")
+	requests, _ := before.seen()
+	c.Assert(requests, qt.HasLen, 1)
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -49,6 +49,7 @@
 	InstancesLive     = Metric{"instances-live", Gauge, nil, "entry instances that are believed to take work"}
 	PlatformReads     = Metric{"platform-reads", Counter, []string{"table"}, "calls that read the platform"}
 	PlatformFailures  = Metric{"platform-failures", Counter, []string{"table", "cause"}, "calls that failed, by timeout or for other reasons, lost history left out"}
+	RowsPassedOver    = Metric{"rows-passed-over", Counter, []string{"table", "field"}, "rows of the platform that are not understood, by the field that is wrong; a row of a server then names none"}
 	PlatformWrites    = Metric{"platform-writes", Counter, nil, "transactions on instances' rows"}
 	PeerExchanges     = Metric{"peer-exchanges", Counter, nil, "exchanges with other instances that were answered"}
 	PeerFailures      = Metric{"peer-failures", Counter, []string{"cause"}, "exchanges with other instances that failed, by timeout or for other reasons"}
@@ -64,7 +65,7 @@
 	return []Metric{
 		Answers, Refusals, Latency, ExpectedWait, Sends, Repeats, RepeatsDenied, ColdSends, ShareElsewhere, InFlight,
 		ServersKnown, ServersSuspect, Connections, ConfigurationNow, ConfigurationAge, InstancesLive,
-		PlatformReads, PlatformFailures, PlatformWrites, PeerExchanges, PeerFailures,
+		PlatformReads, PlatformFailures, RowsPassedOver, PlatformWrites, PeerExchanges, PeerFailures,
 		PeerRows, PeerRowsKnown, PeerBytes,
 		LogDroppedRoutine, LogDroppedOther,
 	}
