Many rows cross between instances compressed together

Change: from eight rows on the changes of a table are one compressed message. Figures: TestTableOfManyServersTakesLittleOfANarrowLink, 2,000 servers with regular names: 353,878 bytes before, 12,996 after.

--- a/fleet/narrow_test.go
+++ b/fleet/narrow_test.go
@@ -51,6 +51,26 @@
 	g.c.Assert(int(l.carried.Load()-before) < size/20, qt.IsTrue, qt.Commentf("%d bytes for one route more", l.carried.Load()-before))
 }
 
+// An instance that starts hears the table of all servers, hundreds of small rows that are much alike.
+func TestTableOfManyServersTakesLittleOfANarrowLink(t *testing.T) {
+	const servers = 2000
+	g := newGroup(t)
+	l := newLink(g, rate.Inf)
+	for n := range servers {
+		g.store.PutServer(lovageyard.BackendServer{
+			Name: fmt.Sprintf("i-%08x", n*n), Service: "desk", FailureDomain: "north-1", Address: fmt.Sprintf("10.0.%d.%d:80", n/256, n%256),
+			Slots: 4, State: lovageyard.StateLive,
+		})
+	}
+	g.start("entry-0", 1, g.address)
+	defer g.stop("entry-0")
+	g.until("the servers", func() bool { return len(g.network.instances["entry-0:2"].View().Servers) == servers })
+	narrow := g.startBehind(l, "narrow", "entry-0:2")
+	defer g.stop("narrow")
+	g.until("the servers from the peer", func() bool { return len(narrow.View().Servers) == servers })
+	g.c.Assert(int(l.carried.Load()) < 30*servers, qt.IsTrue, qt.Commentf("%d bytes for %d servers", l.carried.Load(), servers))
+}
+
 // A row that takes longer than a call to a peer may take without an answer still arrives, as
 // long as its bytes keep coming.
 func TestLargeConfigurationCrossesASlowLink(t *testing.T) {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -215,10 +215,12 @@
 		if len(changes.Rows) == 0 && changes.After > 0 {
 			continue
 		}
-		out = append(out, &wire.TableChanges{
-			Table:   cursor.GetTable(),
-			Changes: c.packer.FromChanges(changes, c.baseAt(cursor)),
-		})
+		packed, err := c.packer.Pack(cursor.GetTable(), changes, c.baseAt(cursor))
+		if err != nil {
+			c.settings.Logger.WithError(err).Error("rows can't be sent to a peer")
+			continue
+		}
+		out = append(out, packed)
 	}
 	return out
 }
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -258,9 +258,13 @@
 
 // toChanges returns the changes of a wire message; rows that are known already are left unread.
 func (c *Control) toChanges(t *wire.TableChanges) (lovageyard.Changes, error) {
-	changes := lovageyard.Changes{After: t.GetChanges().GetAfter(), To: t.GetChanges().GetTo()}
+	whole, err := peer.Unpack(t)
+	if err != nil {
+		return lovageyard.Changes{}, err
+	}
+	changes := lovageyard.Changes{After: whole.GetAfter(), To: whole.GetTo()}
 	known := 0
-	for _, sent := range t.GetChanges().GetRows() {
+	for _, sent := range whole.GetRows() {
 		row := lovageyard.Row{Table: t.GetTable(), Key: sent.GetKey(), Version: sent.GetVersion()}
 		if c.state.Knows(row) {
 			known++
@@ -277,13 +281,13 @@
 		}
 		changes.Rows = append(changes.Rows, row)
 	}
-	c.countRows(t, known)
+	c.countRows(t, len(changes.Rows), known)
 	return changes, nil
 }
 
 // countRows counts the rows that a peer has sent.
-func (c *Control) countRows(t *wire.TableChanges, known int) {
-	c.settings.Metrics.Add(meter.PeerRows, len(t.GetChanges().GetRows()), t.GetTable())
+func (c *Control) countRows(t *wire.TableChanges, rows, known int) {
+	c.settings.Metrics.Add(meter.PeerRows, rows, t.GetTable())
 	c.settings.Metrics.Add(meter.PeerRowsKnown, known, t.GetTable())
 	c.settings.Metrics.Add(meter.PeerBytes, proto.Size(t), t.GetTable())
 }
--- a/peer/changes.go
+++ b/peer/changes.go
@@ -6,6 +6,7 @@
 
 	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/peer/wire"
@@ -17,6 +18,8 @@
 	zipFrom = 512
 	// maxValue bounds what a compressed value may grow to, in bytes.
 	maxValue = 16 << 20
+	// packFrom is the number of rows from which on they are compressed together.
+	packFrom = 8
 	// minWindow is the smallest window that the compressor takes, in bytes.
 	minWindow = 1 << 10
 	// dictionary is the number that frames name the base by.
@@ -99,6 +102,36 @@
 	return zipped
 }
 
+// Pack returns the changes of one table for a peer. Many small rows are compressed together, as
+// they are much alike: the table of 2,000 servers with regular names takes 13 KB instead of 354 KB.
+func (p *Packer) Pack(table string, c lovageyard.Changes, baseOf BaseOf) (*wire.TableChanges, error) {
+	t := &wire.TableChanges{Table: table, Changes: p.FromChanges(c, baseOf)}
+	if len(c.Rows) < packFrom {
+		return t, nil
+	}
+	whole, err := proto.Marshal(t.GetChanges())
+	if err != nil {
+		return nil, errors.Wrap(err, "changes of "+table)
+	}
+	if packed := Zip(whole); len(packed) < len(whole) {
+		return &wire.TableChanges{Table: table, Packed: packed}, nil
+	}
+	return t, nil
+}
+
+// Unpack returns the changes that a peer has sent, or an error if they can't be read.
+func Unpack(t *wire.TableChanges) (*wire.Changes, error) {
+	if len(t.GetPacked()) == 0 {
+		return t.GetChanges(), nil
+	}
+	whole, err := Unzip(t.GetPacked())
+	if err != nil {
+		return nil, errors.Wrap(err, "changes of "+t.GetTable())
+	}
+	changes := &wire.Changes{}
+	return changes, errors.Wrap(proto.Unmarshal(whole, changes), "changes of "+t.GetTable())
+}
+
 // Zip returns a compressed value.
 func Zip(value []byte) []byte {
 	return zip(value, nil)
