Histogram of how old changes are as they come into force

Cause: nothing told how long a change had been under way as it reached an instance, or at which hop it waited.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -96,6 +96,8 @@
 	// waiters are peers' calls that wait for rows.
 	waiters []waiter
 	packer  peer.Packer
+	// heardAt is when the first instance heard of the newest change of each table.
+	heardAt map[string]time.Time
 	// whole holds the tables of which a peer's rows needed a base that is not known here.
 	whole map[string]bool
 	// failing notes since when a table can't be read.
@@ -121,6 +123,7 @@
 		random:   rand.New(rand.NewPCG(s.Seed, s.Seed)),
 		seeds:    s.Seeds,
 		relays:   make(map[string]*followed),
+		heardAt:  make(map[string]time.Time),
 		whole:    make(map[string]bool),
 		failing:  make(map[string]time.Time),
 		unheard:  make(map[string]time.Time),
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -114,6 +114,9 @@
 		m.applied <- c.state.Cursor(m.table)
 		return
 	}
+	if !m.whole && c.hasNews(m.changes.Rows) {
+		c.noteAge(m.table, 0, now)
+	}
 	var faults []catalog.Fault
 	if m.whole {
 		faults = c.state.ApplyList(m.table, m.changes, now)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -326,3 +327,25 @@
 	// No table was read again for it.
 	g.c.Assert(g.store.Calls("/rows-get"), qt.Equals, reads)
 }
+
+// The age of a change is told by the instance that hears of it from another one, too.
+func TestAgeOfChangesIsMeasured(t *testing.T) {
+	g := newGroup(t)
+	first := g.settings("entry-0", 1, platform.NewStore(g.address, quiet()), platform.NewStore(g.address, quiet()))
+	unreachable := platform.NewStore("127.0.0.1:1", quiet())
+	second := g.settings("entry-1", 1, unreachable, unreachable, "entry-0:2")
+	for _, s := range []fleet.Settings{first, second} {
+		control := g.startWith(s)
+		defer g.stop(s.Self.Name)
+		g.until("readiness", func() bool { return control.View().Ready })
+	}
+	g.store.Drain("north-9")
+	for _, s := range []fleet.Settings{first, second} {
+		g.until("the age of a change at "+s.Self.Name, func() bool {
+			var text strings.Builder
+			s.Metrics.Write(&text)
+			_, counts, found := strings.Cut(text.String(), "histogram change-age.orders\n")
+			return found && !strings.Contains(strings.SplitN(counts, "\n", 2)[0], " 0")
+		})
+	}
+}
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -220,6 +220,7 @@
 			c.settings.Logger.WithError(err).Error("rows can't be sent to a peer")
 			continue
 		}
+		packed.AgeMs = c.ageOf(cursor.GetTable(), c.settings.Timer.Now())
 		out = append(out, packed)
 	}
 	return out
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -249,6 +249,9 @@
 		return
 	}
 	delete(c.whole, t.GetTable())
+	if age := t.GetAgeMs(); age >= 0 && c.hasNews(changes.Rows) {
+		c.noteAge(t.GetTable(), time.Duration(age)*time.Millisecond, now)
+	}
 	applied, faults := c.state.ApplyChanges(t.GetTable(), changes, now)
 	c.logFaults(faults)
 	if applied && len(changes.Rows) > 0 {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -47,6 +47,7 @@
 	ConfigurationNow  = Metric{"configuration-version", Gauge, nil, "version of the configuration in force"}
 	ConfigurationAge  = Metric{"configuration-age", Gauge, nil, "milliseconds since the configuration came into force"}
 	InstancesLive     = Metric{"instances-live", Gauge, nil, "entry instances that are believed to take work"}
+	ChangeAge         = Metric{"change-age", Histogram, []string{"table"}, "milliseconds from the moment when the first instance heard of a change from the platform to its being in force here"}
 	PlatformReads     = Metric{"platform-reads", Counter, []string{"table"}, "calls that read the platform"}
 	PlatformFailures  = Metric{"platform-failures", Counter, []string{"table", "cause"}, "calls that failed, by timeout or for other reasons, lost history left out"}
 	RowsPassedOver    = Metric{"rows-passed-over", Counter, []string{"table", "field"}, "rows of the platform that are not understood, by the field that is wrong; a row of a server then names none"}
@@ -65,7 +66,7 @@
 	return []Metric{
 		Answers, Refusals, Latency, ExpectedWait, Sends, Repeats, RepeatsDenied, ColdSends, ShareElsewhere, InFlight,
 		ServersKnown, ServersSuspect, Connections, ConfigurationNow, ConfigurationAge, InstancesLive,
-		PlatformReads, PlatformFailures, RowsPassedOver, PlatformWrites, PeerExchanges, PeerFailures,
+		ChangeAge, PlatformReads, PlatformFailures, RowsPassedOver, PlatformWrites, PeerExchanges, PeerFailures,
 		PeerRows, PeerRowsKnown, PeerBytes,
 		LogDroppedRoutine, LogDroppedOther,
 	}
