A server that begins to tell its start is a new life; the soak restarts servers under their names

Cause: a life that told its start after one that did not counted as the same one, and was not spared: found by the soak's first restarts under one name. Change: any other start is a new life. The soak has four further kinds with a plan of their own, so that earlier seeds keep theirs: servers that start again under their names, foreign entries, large configurations, narrow links to the store.

--- a/catalog/life_test.go
+++ b/catalog/life_test.go
@@ -44,6 +44,15 @@
 	c.Assert(find(s, "a").ColdUntil, qt.Equals, later.Add(3*time.Second))
 }
 
+// An entry with a start after one without it is that of a server which was started anew.
+func TestServerThatBeginsToTellItsStartIsANewLife(t *testing.T) {
+	c := qt.New(t)
+	s := known(c, start)
+	later := start.Add(time.Minute)
+	s.ApplyChanges(lovageyard.TableServers, changes(10, 11, lifeRow(c, "a", 11, 100, lovageyard.StateLive)), later)
+	c.Assert(find(s, "a").ColdUntil, qt.Equals, later.Add(3*time.Second))
+}
+
 // The clock of a server may go back between two lives: the order is that of the platform's versions.
 func TestLivesAreOrderedByThePlatform(t *testing.T) {
 	c := qt.New(t)
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -206,7 +206,8 @@
 		return
 	}
 	cold := r.Server.ColdFor.Std()
-	if known == nil || known.Life != 0 && known.Life != r.Server.Life {
+	if known == nil || known.Life != r.Server.Life {
+		// A server that begins to tell its start has been started anew, too.
 		known = &server{}
 		s.servers[r.Key] = known
 		cold = max(cold, s.coldOnJoining(r.Server.Service))
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -203,7 +203,7 @@
 
 func (t *Table) setServer(listed catalog.Server) {
 	known := t.servers[listed.Name]
-	if known == nil || known.Life != 0 && known.Life != listed.Life {
+	if known == nil || known.Life != listed.Life {
 		// A server that has started anew has lost its caches, its queue and its faults. Attempts
 		// at the life before keep their own record of it, which nobody looks at any more.
 		t.servers[listed.Name] = newServer(listed)
--- a/soak/check.go
+++ b/soak/check.go
@@ -277,6 +277,13 @@
 	c.leftAt[server] = time.Now()
 }
 
+// Back notes that a server's entry names it again.
+func (c *checker) Back(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.leftAt, server)
+}
+
 // Place notes the failure domain of a server.
 func (c *checker) Place(server, domain string) {
 	c.mu.Lock()
--- a/soak/main.go
+++ b/soak/main.go
@@ -28,6 +28,7 @@
 	Servers   int           `default:"12" help:"Backend servers, 4 to 500."`
 	Callers   int           `default:"24" help:"Callers, 1 to 2000."`
 	Out       string        `default:"../out/soak" help:"Directory for the logs of each run."`
+	Further   bool          `default:"true" negatable:"" help:"Restart servers under their names, write foreign entries, large configurations over narrow links to the store."`
 	Show      bool          `help:"Print the plan of each run."`
 }
 
@@ -120,6 +121,9 @@
 	}
 	callers := newCrowd(y, check, fmt.Sprint(seed), o.Callers)
 	plan := makePlan(seed, o.Span)
+	if o.Further {
+		plan = withFurther(plan, seed, o.Span)
+	}
 	began := time.Now()
 	for _, f := range plan {
 		if o.Show {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -36,6 +36,11 @@
 	drainDomain     kind = "drain-domain"
 	configure       kind = "configure"
 	burst           kind = "burst"
+
+	restartServer      kind = "restart-server"
+	foreignEntry       kind = "foreign-entry"
+	largeConfiguration kind = "large-configuration"
+	narrowStore        kind = "narrow-store"
 )
 
 // faultKinds disturb; planned kinds are what operators do on any day.
@@ -46,8 +51,13 @@
 		failRequests, shedRequests, burst,
 	}
 	plannedKinds = []kind{restartInstance, replaceServer, drainDomain, configure}
+	// furtherKinds have a plan of their own, so that the seeds of the others keep their plans.
+	furtherKinds = []kind{restartServer, foreignEntry, largeConfiguration, narrowStore}
 )
 
+// furtherStream tells the random numbers of the further plan from those of the first one.
+const furtherStream = 1
+
 // fault is one entry of a plan.
 type fault struct {
 	At     time.Duration
@@ -87,7 +97,22 @@
 	return plan
 }
 
+// withFurther adds the further kinds to a plan, each drawn once in about three seconds.
+func withFurther(plan []fault, seed uint64, span time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, furtherStream))
+	for at := time.Second; ; {
+		f := fault{At: at, Kind: furtherKinds[random.IntN(len(furtherKinds))], Target: random.IntN(1 << 16), For: time.Duration(1000+random.IntN(4000)) * time.Millisecond}
+		if f.At+f.For > span {
+			break
+		}
+		plan = append(plan, f)
+		at += time.Duration(500+random.IntN(1500)) * time.Millisecond
+	}
+	slices.SortStableFunc(plan, func(a, b fault) int { return int(a.At - b.At) })
+	return plan
+}
+
 // isPlanned says whether a kind is planned work, around which no request may be cut.
 func (k kind) isPlanned() bool {
-	return slices.Contains(plannedKinds, k)
+	return slices.Contains(plannedKinds, k) || k == largeConfiguration
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,13 +30,25 @@
 	return seeds
 }
 
+// furtherSeed is the run with the further kinds that is played with each test run.
+const furtherSeed = 2
+
 // A short run over real processes, and those that once failed.
 func TestSeedsKeepThePromises(t *testing.T) {
+	testSeeds(t, false, append(seedsOf(qt.New(t), "seeds.txt"), shortSeed))
+}
+
+// Servers that start again under their names, foreign entries, large configurations.
+func TestFurtherSeedKeepsThePromises(t *testing.T) {
+	testSeeds(t, true, []uint64{furtherSeed})
+}
+
+func testSeeds(t *testing.T, further bool, seeds []uint64) {
 	c := qt.New(t)
 	program, err := build(c.TempDir())
 	c.Assert(err, qt.IsNil)
-	o := options{Span: 5 * time.Second, Instances: 4, Servers: 6, Callers: 8, Out: c.TempDir()}
-	for _, seed := range append(seedsOf(c, "seeds.txt"), shortSeed) {
+	o := options{Span: 5 * time.Second, Instances: 4, Servers: 6, Callers: 8, Further: further, Out: c.TempDir()}
+	for _, seed := range seeds {
 		r, err := playSeed(o, program, seed)
 		c.Assert(err, qt.IsNil)
 		c.Assert(r.broken, qt.HasLen, 0, qt.Commentf("seed %d", seed))
--- a/soak/yard.go
+++ b/soak/yard.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/Shopify/toxiproxy"
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"lovageyard.example/lovageyard"
@@ -34,6 +35,12 @@
 	retryRatio = 0.001
 	retrySlack = 12
 
+	// Routes that one large configuration adds, and how many there may be: 0.2 KB each.
+	addedRoutes = 1500
+	mostRoutes  = 4500
+	// narrowRate is what a narrow link carries, in KB/s.
+	narrowRate = 300
+
 	requestHost   = "calls.example"
 	lookUpPrefix  = "/look/"
 	chargePrefix  = "/charge/"
@@ -53,10 +60,12 @@
 	proxies   map[string]*toxiproxy.Proxy
 	faults    sync.WaitGroup
 
-	mu       sync.Mutex
-	servers  []*backend
-	count    int
-	version  uint64
+	mu      sync.Mutex
+	servers []*backend
+	count   int
+	version uint64
+	// routes is how many routes the configuration has besides those that callers use.
+	routes   int
 	accepted time.Time
 	problems []string
 }
@@ -132,12 +141,16 @@
 			Goal: 200 * time.Millisecond, Attempts: 2, Sticky: true, Parts: parts,
 		}
 	}
+	routes := []lovageyard.Route{
+		route("look", lookUpPrefix, true), route("charge", chargePrefix, false),
+		route("version", fmt.Sprintf(versionPrefix, y.version), true),
+	}
+	for n := range y.routes {
+		routes = append(routes, route(fmt.Sprint("more-", n), fmt.Sprintf("/more-%x/", xxhash.Sum64String(fmt.Sprint(n))), true))
+	}
 	y.store.PutConfiguration(lovageyard.Configuration{
-		Version: y.version,
-		Routes: []lovageyard.Route{
-			route("look", lookUpPrefix, true), route("charge", chargePrefix, false),
-			route("version", fmt.Sprintf(versionPrefix, y.version), true),
-		},
+		Version:      y.version,
+		Routes:       routes,
 		Services:     map[string]lovageyard.Service{service: {Name: service, HealthPath: "/health", MaxConnections: 400, ColdFor: coldFor, ColdRate: coldRate}},
 		MaxBodyBytes: 1 << 20,
 	})
@@ -155,9 +168,14 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	y.count++
-	server, err := fake.StartServer(lovageyard.BackendServer{
+	described := lovageyard.BackendServer{
 		Name: fmt.Sprint("i-", y.count), Service: service, FailureDomain: domain, Slots: serverSlots, State: lovageyard.StateLive,
-	}, serverWork, y.check)
+	}
+	if y.count%2 == 0 {
+		// The others are older programs, which don't tell their start.
+		described.Life = time.Now().UnixMilli()
+	}
+	server, err := fake.StartServer(described, serverWork, y.check)
 	if err != nil {
 		return err
 	}
@@ -208,7 +226,7 @@
 // harmed says what a fault harms.
 func (y *yard) harmed(f fault) string {
 	switch f.Kind {
-	case pauseInstance, killInstance, cutFromStore:
+	case pauseInstance, killInstance, cutFromStore, narrowStore:
 		return y.instances[f.Target%len(y.instances)].name
 	case storeDown, storeSilent, storeSlow, storeLost, storeLate, storeForgets:
 		return harmsStore
@@ -270,6 +288,17 @@
 		y.store.Undrain(domain)
 	case configure:
 		y.configure()
+	case largeConfiguration:
+		y.mu.Lock()
+		y.routes = min(y.routes+addedRoutes, mostRoutes)
+		y.mu.Unlock()
+		y.configure()
+	case narrowStore:
+		return y.toxic(y.proxies[i.name], f, fmt.Sprintf(`{"name":"fault","type":"bandwidth","stream":"downstream","attributes":{"rate":%d}}`, narrowRate))
+	case foreignEntry:
+		return y.spoilEntry(y.pick(f.Target), f.For)
+	case restartServer:
+		return y.restartServer(y.pick(f.Target))
 	case burst:
 		// Callers look at the time of bursts themselves.
 		time.Sleep(f.For)
@@ -358,6 +387,62 @@
 	return y.addServer(b.FailureDomain)
 }
 
+// foreignEntries are what another program may write in the place of a server's entry.
+var foreignEntries = []any{
+	"ready", 7, []string{}, map[string]any{}, map[string]any{"Addr": "127.0.0.1:1", "Status": map[string]any{"State": "ready"}},
+}
+
+// spoilEntry lets another program write a server's entry, and the server write it again.
+func (y *yard) spoilEntry(b *backend, lasting time.Duration) error {
+	y.mu.Lock()
+	if b.gone {
+		y.mu.Unlock()
+		return nil
+	}
+	b.gone = true
+	y.mu.Unlock()
+	y.store.Put("servers", b.Name, foreignEntries[len(b.Name+b.Address)%len(foreignEntries)])
+	y.check.Left(b.Name)
+	time.Sleep(lasting + leaveBound)
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.check.Back(b.Name)
+	y.store.PutServer(b.BackendServer)
+	b.gone = false
+	return nil
+}
+
+// restartServer ends a server and starts it again under its name, at another address.
+func (y *yard) restartServer(b *backend) error {
+	y.mu.Lock()
+	if b.gone {
+		y.mu.Unlock()
+		return nil
+	}
+	b.gone = true
+	y.mu.Unlock()
+	b.Close()
+	time.Sleep(restartAfter)
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	again := b.BackendServer
+	again.Life = time.Now().UnixMilli()
+	server, err := fake.StartServer(again, serverWork, y.check)
+	if err != nil {
+		return err
+	}
+	proxy, err := newProxy(server.Name, server.Address)
+	if err != nil {
+		return err
+	}
+	b.proxy.Stop()
+	server.Address = proxy.Listen
+	y.check.Joined(b.Name)
+	y.store.PutServer(server.BackendServer)
+	b.Server, b.proxy, b.gone = server, proxy, false
+	return nil
+}
+
 // replace lets a server leave: it tells so, serves on, and ends; another one starts first.
 func (y *yard) replace(b *backend) error {
 	y.mu.Lock()
