--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,9 +30,6 @@
 	return seeds
 }
 
-// furtherSeed is the run with the further kinds that is played with each test run.
-const furtherSeed = 2
-
 // A short run over real processes, and those that once failed.
 func TestSeedsKeepThePromises(t *testing.T) {
 	testSeeds(t, false, append(seedsOf(qt.New(t), "seeds.txt"), shortSeed))
@@ -40,7 +37,7 @@
 
 // Servers that start again under their names, foreign entries, large configurations.
 func TestFurtherSeedKeepsThePromises(t *testing.T) {
-	testSeeds(t, true, []uint64{furtherSeed})
+	testSeeds(t, true, seedsOf(qt.New(t), "seeds-further.txt"))
 }
 
 func testSeeds(t *testing.T, further bool, seeds []uint64) {
