The soak excuses work for leaving servers and late versions by what the sender could know

Change: the checker knows which instance a request was sent to; a bound begins anew when a fault of that instance or the store ends that overlapped it, and an instance that was harmed in the last 5 s is excused. Stricter in each case of the checker's test.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -127,7 +127,7 @@
 // send sends a request with an identity of its own.
 func (c *crowd) send(client *http.Client, address, method, path, body string, unsafe bool, timeout time.Duration) outcome {
 	id := fmt.Sprintf("%s-%d", c.run, c.numbers.Add(1))
-	c.check.Send(id, unsafe)
+	c.check.Send(id, address, unsafe)
 	o := outcome{ID: id, Instance: address, Began: time.Now()}
 	// The callers' deadline goes on when the run ends, so that no request is given up early.
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/soak/check.go
+++ b/soak/check.go
@@ -63,8 +63,10 @@
 	arrived map[string]int
 	sends   []time.Time
 	repeats []time.Time
-	// nameOf names the instance that has, or had, an address.
+	// nameOf names the instance that has, or had, an address, and sender the one that a request
+	// was sent to, which is the only one that passes it on.
 	nameOf     map[string]string
+	sender     map[string]string
 	served     map[string]uint64
 	violations []string
 	counts     map[string]int
@@ -92,6 +94,7 @@
 		drainedAt:    make(map[string]time.Time),
 		served:       make(map[string]uint64),
 		nameOf:       make(map[string]string),
+		sender:       make(map[string]string),
 		coldUntil:    make(map[string]time.Time),
 		coldArrivals: make(map[string][]time.Time),
 		arrived:      make(map[string]int),
@@ -134,12 +137,6 @@
 	return true
 }
 
-// harmsSteering says whether a fault may keep some instance from hearing of a change; which
-// instance sent a request can't be seen at a server.
-func harmsSteering(what string) bool {
-	return what != harmsServers
-}
-
 // harmsInstance returns what says whether a fault harms one instance itself.
 func harmsInstance(name string) func(string) bool {
 	return func(what string) bool { return what == name }
@@ -150,6 +147,28 @@
 	return func(what string) bool { return what == name || what == harmsStore }
 }
 
+// mustKnow says whether an instance must act on a change by now that was made at a time: its bound
+// begins anew when a fault ends that kept it from hearing of the change, and it is excused while
+// it was harmed itself just before. It counts how often it was asked; the caller holds the lock.
+func (c *checker) mustKnow(check, instance string, changed time.Time, bound time.Duration, now time.Time) bool {
+	due := changed.Add(bound)
+	for extended := true; extended; {
+		extended = false
+		for _, d := range c.disturbed {
+			if !harmsHearing(instance)(d.what) || !d.from.Before(due) || !d.to.After(changed) || !d.to.Add(bound).After(due) {
+				continue
+			}
+			due = d.to.Add(bound)
+			extended = true
+		}
+	}
+	if now.Before(due) {
+		c.counts["excused "+check]++
+		return false
+	}
+	return c.quiet(check, now.Add(-quietBefore), now, harmsInstance(instance))
+}
+
 // Count counts a fault or planned work that is played.
 func (c *checker) Count(k kind) {
 	c.mu.Lock()
@@ -157,11 +176,12 @@
 	c.counts["played "+string(k)]++
 }
 
-// Send notes a request before it is sent.
-func (c *checker) Send(id string, unsafe bool) {
+// Send notes a request before it is sent to the instance at an address.
+func (c *checker) Send(id, address string, unsafe bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unsafe[id] = unsafe
+	c.sender[id] = c.nameOf[address]
 	c.counts["sent"]++
 	c.sends = append(within(c.sends, retryWindow, time.Now()), time.Now())
 }
@@ -216,18 +236,14 @@
 	}
 	c.checkCold(server, id, now)
 	c.checkRepeats(server, id, now)
+	sender := c.sender[id]
 	left, leaves := c.leftAt[server]
-	drained, drains := c.drainedAt[c.domainOf[server]]
-	leaves = leaves && now.Sub(left) > leaveBound
-	drains = drains && now.Sub(drained) > leaveBound
-	if !leaves && !drains || !c.quiet("arrivals after leaving", now.Add(-quietBefore-leaveBound), now, harmsSteering) {
-		return
+	if leaves && now.Sub(left) > leaveBound && c.mustKnow("arrivals after leaving", sender, left, leaveBound, now) {
+		c.violate("server %s got %s from %s %s after it left", server, id, sender, now.Sub(left))
 	}
-	if leaves {
-		c.violate("server %s got %s %s after it left", server, id, now.Sub(left))
-	}
-	if drains {
-		c.violate("server %s got %s %s after its failure domain was drained", server, id, now.Sub(drained))
+	drained, drains := c.drainedAt[c.domainOf[server]]
+	if drains && now.Sub(drained) > leaveBound && c.mustKnow("arrivals after a drain", sender, drained, leaveBound, now) {
+		c.violate("server %s got %s from %s %s after its failure domain was drained", server, id, sender, now.Sub(drained))
 	}
 }
 
@@ -318,7 +334,7 @@
 	if now.Sub(accepted) <= applyBound {
 		return
 	}
-	judged := c.quiet("probes of versions", accepted.Add(-quietBefore), now, harmsHearing(name))
+	judged := c.mustKnow("probes of versions", name, accepted, applyBound, now)
 	if judged && status == 404 {
 		c.violate("%s does not apply version %d %s after it was accepted", life, version, now.Sub(accepted))
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -17,17 +17,17 @@
 	}{
 		{"a request that nobody sent", ".*nobody sent", func(c *checker) { c.Arrived("s", "x") }},
 		{"a charge twice", ".*ran again.*", func(c *checker) {
-			c.Send("x", true)
+			c.Send("x", "127.0.0.1:1", true)
 			c.Ran("s", "x")
 			c.Ran("s", "x")
 		}},
 		{"run after a refusal", ".*after it had been refused.*", func(c *checker) {
-			c.Send("x", false)
+			c.Send("x", "127.0.0.1:1", false)
 			c.Ended(outcome{ID: "x", Status: 503})
 			c.Ran("s", "x")
 		}},
 		{"refused after a run", ".*but has run", func(c *checker) {
-			c.Send("x", false)
+			c.Send("x", "127.0.0.1:1", false)
 			c.Ran("s", "x")
 			c.Ended(outcome{ID: "x", Status: 429})
 		}},
@@ -42,12 +42,12 @@
 			c.Ended(outcome{ID: "x", Sent: true, Began: time.Now(), At: time.Now()})
 		}},
 		{"work for a server that left", ".*after it left", func(c *checker) {
-			c.Send("x", false)
+			c.Send("x", "127.0.0.1:1", false)
 			c.leftAt["s"] = time.Now().Add(-time.Minute)
 			c.Arrived("s", "x")
 		}},
 		{"work for a drained failure domain", ".*was drained", func(c *checker) {
-			c.Send("x", false)
+			c.Send("x", "127.0.0.1:1", false)
 			c.Place("s", "d")
 			c.drainedAt["d"] = time.Now().Add(-time.Minute)
 			c.Arrived("s", "x")
@@ -56,13 +56,13 @@
 			c.Joined("s")
 			for i := range 7 {
 				id := fmt.Sprint(i)
-				c.Send(id, false)
+				c.Send(id, "127.0.0.1:1", false)
 				c.Arrived("s", id)
 			}
 		}},
 		{"too many repeats", ".*repeat 13 in 10s with 5 requests", func(c *checker) {
 			for i := range 5 {
-				c.Send(fmt.Sprint(i), false)
+				c.Send(fmt.Sprint(i), "127.0.0.1:1", false)
 			}
 			for range 14 {
 				c.Arrived("s", "0")
@@ -91,19 +91,25 @@
 // A bound in time is not held against what a fault harms, and only there.
 func TestCheckerExcusesWhatAFaultHarms(t *testing.T) {
 	now := time.Now()
+	seconds := func(n int) time.Time { return now.Add(time.Duration(n) * time.Second) }
 	for _, test := range []struct {
 		harmed string
+		// from and to are when that was so, in seconds from now.
+		from, to int
 		// broken are the promises that still count, of a cut and a late version at entry-1
 		// and of work for a server that left.
 		broken int
 	}{
-		{"entry-1", 0}, {"entry-2", 2}, {harmsStore, 1}, {harmsServers, 3},
+		{"entry-1", -1, 1, 0}, {"entry-2", -1, 1, 3}, {harmsStore, -1, 1, 3}, {harmsServers, -1, 1, 3},
+		// The server left, and the version was accepted, a minute ago.
+		{"entry-1", -61, -58, 3}, {"entry-1", -61, -2, 0}, {"entry-2", -61, -2, 3}, {harmsStore, -61, -58, 3}, {harmsStore, -61, -2, 1},
+		{harmsStore, -40, -2, 3},
 	} {
-		t.Run(test.harmed, func(t *testing.T) {
+		t.Run(fmt.Sprint(test.harmed, test.from, test.to), func(t *testing.T) {
 			checks := newChecker()
 			checks.Name("127.0.0.1:1", "entry-1")
-			checks.Disturb(test.harmed, now.Add(-time.Second), now.Add(time.Second))
-			checks.Send("x", false)
+			checks.Disturb(test.harmed, seconds(test.from), seconds(test.to))
+			checks.Send("x", "127.0.0.1:1", false)
 			checks.leftAt["s"] = now.Add(-time.Minute)
 			checks.Arrived("s", "x")
 			checks.Ran("s", "x")
