--- a/transfer/client_test.go
+++ b/transfer/client_test.go
@@ -119,3 +119,18 @@
 	s.content = s.content[n:]
 	return n, nil
 }
+
+// The time without a byte begins with the answer's headers, not with the first byte of its body.
+func TestBodyThatDoesNotBeginIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	url := serve(c, func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	client := transfer.Client{HTTP: http.DefaultClient, Bounds: transfer.Bounds{Answer: long, Stall: short, Whole: long}}
+	response, err := get(c, client, url)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	assertTimeout(c, err, 0)
+}
