A new life of an instance is described by its row until it has spoken itself

Change: word that comes through others about a life that has not spoken here takes its addresses from the instance's row.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -96,6 +96,8 @@
 	// waiters are peers' calls that wait for rows.
 	waiters []waiter
 	packer  peer.Packer
+	// spokeIn is the life in which an instance last spoke here itself.
+	spokeIn map[string]int64
 	// heardAt is when the first instance heard of the newest change of each table.
 	heardAt map[string]time.Time
 	// whole holds the tables of which a peer's rows needed a base that is not known here.
@@ -123,6 +125,7 @@
 		random:   rand.New(rand.NewPCG(s.Seed, s.Seed)),
 		seeds:    s.Seeds,
 		relays:   make(map[string]*followed),
+		spokeIn:  make(map[string]int64),
 		heardAt:  make(map[string]time.Time),
 		whole:    make(map[string]bool),
 		failing:  make(map[string]time.Time),
@@ -189,12 +192,21 @@
 	if c.state.Expire(now) {
 		c.dirty = true
 	}
+	c.forgetGone()
 	c.shareWithSome()
 	c.followRelays()
 	c.answerWaiters(now)
 	c.removeSilent(now)
 }
 
+// forgetGone drops what is kept of instances that the table of members has forgotten.
+func (c *Control) forgetGone() {
+	maps.DeleteFunc(c.spokeIn, func(name string, _ int64) bool {
+		_, known := c.members.Find(name)
+		return !known
+	})
+}
+
 // beat tells anew that this instance is alive.
 func (c *Control) beat(now time.Time) {
 	c.self.Heartbeat++
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -194,6 +194,7 @@
 func (c *Control) hear(from *wire.Member, pulses []*wire.Pulse, now time.Time) {
 	live := len(c.members.Live())
 	if from.GetInstance() != "" {
+		c.spokeIn[from.GetInstance()] = from.GetLife()
 		c.hearMember(peer.ToMember(from), now)
 	}
 	for _, p := range pulses {
@@ -207,8 +208,11 @@
 // hearPulse takes in word of an instance, if it is known who that is.
 func (c *Control) hearPulse(p *wire.Pulse, now time.Time) {
 	m, known := c.members.Find(p.GetInstance())
-	if !known {
-		m.EntryInstance, known = c.state.Instance(p.GetInstance())
+	if !known || p.GetLife() != c.spokeIn[p.GetInstance()] {
+		// A life that has not spoken here itself is described by its row.
+		if row, listed := c.state.Instance(p.GetInstance()); listed {
+			m.EntryInstance, known = row, true
+		}
 	}
 	if !known {
 		return
