--- a/soak/inject.go
+++ b/soak/inject.go
@@ -236,6 +236,7 @@
 	defer y.mu.Unlock()
 	again := b.BackendServer
 	again.Life = time.Now().UnixMilli()
+	again.ColdFor = lovageyard.Duration(coldFor)
 	server, err := fake.StartServer(again, serverWork, y.check)
 	if err != nil {
 		return err
--- a/soak/yard.go
+++ b/soak/yard.go
@@ -174,6 +174,10 @@
 		// The others are older programs, which don't tell their start.
 		described.Life = time.Now().UnixMilli()
 	}
+	if len(y.instances) > 0 {
+		// An instance that starts just then learns from the entry alone that the server is cold.
+		described.ColdFor = lovageyard.Duration(coldFor)
+	}
 	server, err := fake.StartServer(described, serverWork, y.check)
 	if err != nil {
 		return err
