--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -103,6 +103,20 @@
 	s := catalog.NewState(jsonDecoder{})
 	c.Assert(s.Ready(), qt.IsFalse)
 	c.Assert(known(c, start).Ready(), qt.IsTrue)
+	// Each of them is needed.
+	for _, missing := range lovageyard.FollowedTables() {
+		s := catalog.NewState(jsonDecoder{})
+		for _, table := range lovageyard.FollowedTables() {
+			switch {
+			case table == missing:
+			case table == lovageyard.TableOrders:
+				s.ApplyList(table, changes(0, 10, configRow(c, 5, 7)), start)
+			default:
+				s.ApplyList(table, changes(0, 10), start)
+			}
+		}
+		c.Assert(s.Ready(), qt.IsFalse, qt.Commentf("without %s", missing))
+	}
 }
 
 func TestConfigurationNeverGoesBack(t *testing.T) {
