Lines of attempts without an answer tell which requests are the same

What callers saw: over a tenth of one service's look-ups failed while its servers ended one after the other. Logs could not tell whether one request was behind it: each attempt of a client has an identity of its own, and an object is shared by many requests (one object was at 8 of 14 losses, and answered well 11 times in between).

Change: the fingerprint of a request (caller, method, host, target, body) and its caller stand on the line of each attempt that got no answer. No decision changes.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -14,6 +14,7 @@
 	"lovageyard.example/lovageyard/dispatch"
 	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/meter"
+	"lovageyard.example/lovageyard/quarantine"
 )
 
 // Spans of requests.
@@ -324,6 +325,10 @@
 		fields["load"] = a.choice.Load
 		fields["load-age-ms"] = a.choice.LoadAge.Milliseconds()
 		fields["verdict"] = string(a.verdict())
+		if a.err != nil {
+			fields["caller"] = callerOf(x.request)
+			fields["fingerprint"] = quarantine.Format(x.fingerprint)
+		}
 		if a.choice.Object != 0 {
 			fields["object"] = strconv.FormatUint(a.choice.Object, 16)
 		}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +19,7 @@
 	"lovageyard.example/lovageyard/dispatch"
 	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/meter"
+	"lovageyard.example/lovageyard/quarantine"
 )
 
 // maxBody bounds the bodies of requests, which are read whole before they are sent, so
@@ -91,6 +93,8 @@
 	route   *lovageyard.Route
 	service string
 	body    []byte
+	// fingerprint stands for the request's content, whatever attempt of the client this is.
+	fingerprint uint64
 	// deadline is when a server has to be done, and end when its answer is given up here.
 	deadline time.Time
 	end      time.Time
@@ -118,6 +122,7 @@
 		x.reject(status, err.Error())
 		return
 	}
+	x.fingerprint = x.content().Fingerprint()
 	x.setDeadlines()
 	if x.outlivesInstance() {
 		x.refuse(causeClosing, "this instance ends before the answer is due", retrySoon, nil)
@@ -150,6 +155,29 @@
 	x.end = x.began.Add(end)
 }
 
+// content returns what the request has in common with other attempts at it.
+func (x *exchange) content() quarantine.Content {
+	return quarantine.Content{
+		Caller: callerOf(x.request),
+		Method: x.request.Method,
+		Host:   x.request.Host,
+		Target: x.request.RequestURI,
+		Body:   x.body,
+	}
+}
+
+// callerOf returns who sent a request: its credentials, or its address if it has none.
+func callerOf(r *http.Request) string {
+	if credentials := r.Header.Get("Authorization"); credentials != "" {
+		return credentials
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
 // path returns the request's path as the client wrote it, without the query.
 func (x *exchange) path() string {
 	path, _, _ := strings.Cut(x.request.RequestURI, "?")
