A test of a request that ends server after server, known red

What callers saw: one look-up came again and again; 22 servers of a service of 12 ended in 6 s, and over a tenth of the service's requests failed.

The test plays three instances as processes before eight stand-in servers that end under one request.

--- a/integration/edge_test.go
+++ b/integration/edge_test.go
@@ -47,10 +47,13 @@
 // edge is an entry instance as a process, on a stand-in store with two backend servers.
 type edge struct {
 	c       *qt.C
+	name    string
 	store   *fake.Store
 	servers []*fake.Server
-	command *exec.Cmd
-	output  *bufio.Reader
+	// platform is the address of the store.
+	platform string
+	command  *exec.Cmd
+	output   *bufio.Reader
 	// settings is the path of its settings file.
 	settings string
 	// leaveWithin is its time between the request to leave and the end by force.
@@ -65,7 +68,7 @@
 }
 
 func newEdgeThatLeavesWithin(t *testing.T, leaveWithin time.Duration) *edge {
-	e := &edge{c: qt.New(t), store: fake.NewStore(), leaveWithin: leaveWithin}
+	e := &edge{c: qt.New(t), name: "entry-1", store: fake.NewStore(), leaveWithin: leaveWithin}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	e.c.Assert(err, qt.IsNil)
 	store := &http.Server{Handler: e.store}
@@ -80,10 +83,18 @@
 	}
 	e.addServer("slow", "server-slow", 5*time.Second)
 	e.addServer("long", "server-long", longWork)
-	e.start(listener.Addr().String())
+	e.platform = listener.Addr().String()
+	e.start()
 	return e
 }
 
+// another starts a further instance on the same platform.
+func (e *edge) another(name string) *edge {
+	other := &edge{c: e.c, name: name, store: e.store, platform: e.platform, leaveWithin: e.leaveWithin}
+	other.start()
+	return other
+}
+
 func (e *edge) configure() {
 	route := func(name, prefix, service string, idempotent bool, timeout time.Duration) lovageyard.Route {
 		return lovageyard.Route{
@@ -92,7 +103,7 @@
 		}
 	}
 	services := make(map[string]lovageyard.Service)
-	for _, name := range []string{edgeService, "slow", "long", "none"} {
+	for _, name := range []string{edgeService, "slow", "long", "none", frailService} {
 		services[name] = lovageyard.Service{Name: name, HealthPath: "/health", MaxConnections: 400}
 	}
 	e.store.PutConfiguration(lovageyard.Configuration{
@@ -104,6 +115,7 @@
 			route("long", longPrefix, "long", false, 2*longWork),
 			route("short", shortPrefix, edgeService, true, time.Second),
 			route("none", nonePrefix, "none", true, 20*time.Second),
+			route("frail", frailPrefix, frailService, true, 20*time.Second),
 		},
 		Services:     services,
 		MaxBodyBytes: 1000,
@@ -121,12 +133,12 @@
 }
 
 // start runs the program and reads its output until it has told its addresses.
-func (e *edge) start(store string) {
+func (e *edge) start() {
 	loopback := "127.0.0.1:0"
 	e.command = exec.Command(filepath.Join(bin, "lovageyardd"), "edge",
-		"--instance", "entry-1", "--failure-domain", "north-1", "--region", "north", "--regions", "north-1=north",
+		"--instance", e.name, "--failure-domain", "north-1", "--region", "north", "--regions", "north-1=north",
 		"--caller-address", loopback, "--ready-address", loopback, "--look-up-address", loopback, "--peer-address", loopback,
-		"--platform-address", store, "--leave-within", e.leaveWithin.String(), "--retry-slack", "1000")
+		"--platform-address", e.platform, "--leave-within", e.leaveWithin.String(), "--retry-slack", "1000")
 	e.settings = filepath.Join(e.c.TempDir(), "settings.json")
 	e.c.Assert(os.WriteFile(e.settings, []byte("{}"), 0o600), qt.IsNil)
 	e.command.Env = append(os.Environ(), platform.SettingsVariable+"="+e.settings)
