A request that ends the servers which run it is stopped at all instances

What callers saw: one look-up came again and again, each time as a new attempt at any instance; 22 servers of a service of 12 ended in 6 s, and over a tenth of the service's requests failed.

Cause: what an attempt teaches of its request was forgotten with the attempt. Instances judged servers, by their failures, but never requests; an attempt's identity is new each time, and nothing passed between instances. Class: a failure that follows the request was put down to the server alone.

Change: package quarantine remembers, by the content of a request (caller, method, host, target, body), at which servers it was when they ended. A server counts as ended if it broke the connection off and its port then refuses connections (one probe, beside the request), so that lost answers and resets count against nobody. After three ends a request is refused at once as not run, for ten minutes. Instances tell each other at once, and compare digests in their exchanges. What fell beside it is told apart: the request that was at most ends explains them, two that were at the same ends are sent to different servers until an end or an answer tells, and a good answer clears. Within one attempt of a client, two servers that broke it off are enough.

Why it holds: the bound (three ends, then no send) is kept by content over all instances, and word passes in fractions of a second.

Before: TestRequestThatEndsServersIsStopped ends 28 servers, 24 under 12 attempts sent later than 4 s after the third (3 allowed).

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -36,10 +36,7 @@
 	if s == nil {
 		return t.refuse(r, nil, CauseUnknownService, "no server of the service is known")
 	}
-	object := uint64(0)
-	if r.Route.Sticky {
-		object = objectOf(r.Route, r.Key)
-	}
+	object := r.object()
 	best, why := t.pick(r, s, object)
 	if best == nil {
 		return t.refuse(r, s, why.cause, why.reason)
@@ -50,6 +47,17 @@
 	return t.send(r, s, object, best)
 }
 
+// object returns what the request's server is chosen by, or 0 if any server is as good.
+func (r Request) object() uint64 {
+	switch {
+	case r.Apart != 0:
+		return r.Apart
+	case r.Route.Sticky:
+		return objectOf(r.Route, r.Key)
+	}
+	return 0
+}
+
 // refusal says why no server was picked.
 type refusal struct {
 	cause  string
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -35,6 +35,8 @@
 	Key string
 	// Deadline is when a server has to be done.
 	Deadline time.Time
+	// Apart stands in for the object, if it is not 0, so that the request goes its own way.
+	Apart uint64
 	// Tried names the servers that earlier attempts went to.
 	Tried []string
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -21,6 +22,7 @@
 	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/platform"
+	"lovageyard.example/lovageyard/quarantine"
 	"lovageyard.example/lovageyard/timer"
 )
 
@@ -67,18 +69,27 @@
 
 func (s source) View() *catalog.View { return s.view }
 
-// yard is a handler over one route with two servers.
+// yard is a handler over one route with servers, two unless there are more, each in a failure domain of
+// its own.
 type yard struct {
-	c      *qt.C
-	view   *catalog.View
-	sender *sender
-	log    *strings.Builder
+	c       *qt.C
+	servers int
+	view    *catalog.View
+	// serving is the handler that all requests go to; if it is nil, each has one of its own.
+	serving http.Handler
+	watch   *quarantine.Watch
+	sender  *sender
+	log     *strings.Builder
 	// key is the object that requests name, or "".
 	key string
 }
 
 func newYard(t *testing.T, steps ...step) *yard {
-	y := &yard{c: qt.New(t), sender: &sender{steps: steps}, log: &strings.Builder{}}
+	return newYardOf(t, 2, steps...)
+}
+
+func newYardOf(t *testing.T, servers int, steps ...step) *yard {
+	y := &yard{c: qt.New(t), servers: servers, sender: &sender{steps: steps}, log: &strings.Builder{}}
 	snapshot := catalog.NewState(platform.Decoder{}).Snapshot()
 	y.view = &catalog.View{Snapshot: snapshot, Ready: true}
 	y.setRoute(lovageyard.Route{
@@ -99,15 +110,19 @@
 		"Limits":   map[string]any{"MaxBodyBytes": 100},
 	})
 	y.c.Assert(err, qt.IsNil)
-	state := catalog.NewState(platform.Decoder{Regions: map[string]string{"north-1": "north"}})
+	regions := make(map[string]string)
+	var rows []lovageyard.Row
+	for n := range y.servers {
+		domain := fmt.Sprint("north-", n+1)
+		regions[domain] = "north"
+		entry := fmt.Sprintf(`{"Addr":"127.0.0.1:9","Info":{"Service":"desk","Version":"v1","Zone":"%s","Slots":4},"Status":{"State":"ready","Sequence":1,"ColdLeftMs":0}}`, domain)
+		rows = append(rows, lovageyard.Row{Table: lovageyard.TableServers, Key: fmt.Sprint("i-", n+1), Version: 1, Value: []byte(entry)})
+	}
+	state := catalog.NewState(platform.Decoder{Regions: regions})
 	state.ApplyList(lovageyard.TableOrders, lovageyard.Changes{To: 1, Rows: []lovageyard.Row{
 		{Table: lovageyard.TableOrders, Key: "config", Version: 1, Value: value},
 	}}, time.Now())
-	server := `{"Addr":"127.0.0.1:9","Info":{"Service":"desk","Version":"v1","Zone":"north-1","Slots":4},"Status":{"State":"ready","Sequence":1,"ColdLeftMs":0}}`
-	state.ApplyList(lovageyard.TableServers, lovageyard.Changes{To: 1, Rows: []lovageyard.Row{
-		{Table: lovageyard.TableServers, Key: "i-1", Version: 1, Value: []byte(server)},
-		{Table: lovageyard.TableServers, Key: "i-2", Version: 1, Value: []byte(server)},
-	}}, time.Now())
+	state.ApplyList(lovageyard.TableServers, lovageyard.Changes{To: 1, Rows: rows}, time.Now())
 	y.view.Snapshot = state.Snapshot()
 }
 
@@ -121,11 +136,24 @@
 	})
 	table.SetCatalog(y.view.Snapshot)
 	return entry.NewHandler(entry.Parts{
-		Source: source{y.view}, Codec: platform.Headers{}, Sender: y.sender, Dispatch: table,
+		Source: source{y.view}, Codec: platform.Headers{}, Sender: y.sender, Dispatch: table, Quarantine: y.quarantine(logger),
 		Timer: timer.Clock{}, Logger: logger, Metrics: meter.NewSet(),
 	})
 }
 
+// living answers that no server has ended.
+type living struct{}
+
+func (living) HasEnded(context.Context, lovageyard.BackendServer) bool { return false }
+
+// quarantine returns what remembers servers that ended.
+func (y *yard) quarantine(logger *logrus.Logger) *quarantine.Watch {
+	w := quarantine.NewWatch(quarantine.Settings{Prober: living{}, Timer: timer.Clock{}, Logger: logger, Metrics: meter.NewSet()})
+	y.c.Cleanup(w.Close)
+	y.watch = w
+	return w
+}
+
 func (y *yard) ask(method, target, body string) *http.Response {
 	request := httptest.NewRequest(method, target, strings.NewReader(body))
 	if body == "" {
@@ -138,7 +166,11 @@
 		request.Header.Set("X-Affinity-Key", y.key)
 	}
 	recorder := httptest.NewRecorder()
-	y.handler().ServeHTTP(recorder, request)
+	handler := y.serving
+	if handler == nil {
+		handler = y.handler()
+	}
+	handler.ServeHTTP(recorder, request)
 	return recorder.Result()
 }
 
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -28,6 +28,10 @@
 	// answerGrace is how long after a route's timeout an answer may still arrive that its
 	// server had ready in time; operators allow a quarter of a second.
 	answerGrace = 170 * time.Millisecond
+	// mostBroken is how many servers may break off one attempt of a client before it is sent to no
+	// further one: an innocent request hardly meets two ends, and one that ends servers takes
+	// the next one with all that runs there.
+	mostBroken = 2
 	// statusClientGone is logged for a request whose client went away.
 	statusClientGone = 499
 )
@@ -99,14 +103,20 @@
 }
 
 func (x *exchange) choose() dispatch.Choice {
-	return x.handler.Dispatch.Choose(dispatch.Request{
+	r := dispatch.Request{
 		Now:      x.handler.Timer.Now(),
 		Route:    x.route,
 		Service:  x.service,
 		Key:      x.meta.Key,
 		Deadline: x.deadline,
 		Tried:    x.tried,
-	})
+	}
+	if x.broken > 0 || x.judge().Suspect {
+		// Requests that fell with one server, often of one object, part here: together they would
+		// fall with the next one too, and nobody could tell which of them is the cause.
+		r.Apart = x.fingerprint
+	}
+	return x.handler.Dispatch.Choose(r)
 }
 
 // try makes one attempt and tells the dispatcher how it ended.
@@ -130,9 +140,25 @@
 	if a.answer != nil && a.answer.Meta.Misdirected {
 		x.handler.Sender.Forget(choice.Server.Name)
 	}
+	x.tellQuarantine(a)
 	return a
 }
 
+// tellQuarantine passes on what an attempt says of the request and its server.
+func (x *exchange) tellQuarantine(a *attempt) {
+	q := x.handler.Quarantine
+	if a.err != nil && a.err.Broken {
+		x.broken++
+		q.Lost(a.choice.Server, x.fingerprint)
+	}
+	if a.err != nil && a.err.Ended || a.answer != nil && a.answer.Meta.Misdirected {
+		q.Ended(a.choice.Server)
+	}
+	if a.isGood() {
+		q.Answered(x.fingerprint)
+	}
+}
+
 // measure counts an attempt.
 func (x *exchange) measure(choice dispatch.Choice) {
 	m := x.handler.Metrics
@@ -225,6 +251,9 @@
 	if ctx.Err() != nil || x.request.Context().Err() != nil || len(x.tried) >= x.route.Attempts {
 		return false
 	}
+	if x.broken >= mostBroken || x.judge().Held {
+		return false
+	}
 	if a.answer != nil && a.answer.Meta.NotRun && a.answer.Status == http.StatusBadRequest {
 		return false
 	}
@@ -310,6 +339,10 @@
 	if x.cause != "" {
 		fields["cause"] = x.cause
 	}
+	if x.cause == causeHeld {
+		fields["caller"] = callerOf(x.request)
+		fields["fingerprint"] = quarantine.Format(x.fingerprint)
+	}
 	if x.route != nil {
 		fields["route"] = x.route.Name
 		fields["service"] = x.service
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -44,15 +44,24 @@
 	Forget(server string)
 }
 
+// Quarantine judges requests by the servers that ended under them; requests go by their fingerprints.
+type Quarantine interface {
+	Judge(request uint64) quarantine.Judgement
+	Lost(server lovageyard.BackendServer, request uint64)
+	Ended(server lovageyard.BackendServer)
+	Answered(request uint64)
+}
+
 // Parts are what a Handler is made of.
 type Parts struct {
-	Source   Source
-	Codec    Codec
-	Sender   Sender
-	Dispatch *dispatch.Table
-	Timer    lovageyard.Timer
-	Logger   *logrus.Logger
-	Metrics  *meter.Set
+	Source     Source
+	Codec      Codec
+	Sender     Sender
+	Dispatch   *dispatch.Table
+	Quarantine Quarantine
+	Timer      lovageyard.Timer
+	Logger     *logrus.Logger
+	Metrics    *meter.Set
 }
 
 // Handler forwards callers' requests.
@@ -99,6 +108,8 @@
 	deadline time.Time
 	end      time.Time
 	tried    []string
+	// broken counts the servers that broke off the request.
+	broken int
 	// cause says why the request was refused, or is "".
 	cause string
 	// ran says that an attempt may have run the request.
@@ -128,9 +139,18 @@
 		x.refuse(causeClosing, "this instance ends before the answer is due", retrySoon, nil)
 		return
 	}
+	if j := x.judge(); j.Held {
+		x.refuse(causeHeld, "servers end under this request", j.Until.Sub(x.began), nil)
+		return
+	}
 	x.run()
 }
 
+// judge returns what is thought of the request.
+func (x *exchange) judge() quarantine.Judgement {
+	return x.handler.Quarantine.Judge(x.fingerprint)
+}
+
 // outlivesInstance says whether the request may last longer than this instance, which leaves. It
 // would be cut off while its server is at work; another instance takes it at once. One of a route
 // with a timeout of 8 s, taken 3.8 s after the signal to stop within 10 s, was cut off 5.5 s later.
@@ -214,6 +234,7 @@
 // Causes of refusals, for metrics, besides those of the choice of a server.
 const (
 	causeClosing    = "closing"
+	causeHeld       = "held"
 	causeServer     = "server"
 	causeNotReached = "not-reached"
 )
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -62,9 +62,11 @@
 	Decoder   lovageyard.Decoder
 	Peers     Peers
 	Follower  Follower
-	Timer     lovageyard.Timer
-	Logger    *logrus.Logger
-	Metrics   *meter.Set
+	// Quarantine is what instances tell each other of servers that ended.
+	Quarantine Quarantine
+	Timer      lovageyard.Timer
+	Logger     *logrus.Logger
+	Metrics    *meter.Set
 	// Seeds are addresses of peers to ask before any other is known.
 	Seeds []string
 	Seed  uint64
@@ -106,6 +108,8 @@
 	whole map[string]bool
 	// failing notes since when a table can't be read.
 	failing map[string]time.Time
+	// untold says that there is news of crashes which could not be told yet.
+	untold bool
 	// unheard is when the row of an instance that has never spoken was first seen.
 	unheard map[string]time.Time
 }
@@ -174,6 +178,8 @@
 			} else {
 				c.askForRows(now)
 			}
+		case <-c.settings.Quarantine.News():
+			c.tellCrashes()
 		case m := <-c.inbox.Messages():
 			m.Apply(c)
 		case <-c.inbox.Context().Done():
@@ -194,6 +200,7 @@
 	if c.state.Expire(now) {
 		c.dirty = true
 	}
+	c.settings.Quarantine.Tick(now)
 	c.forgetGone()
 	c.shareWithSome()
 	c.followRelays()
--- /dev/null
+++ b/fleet/crash_test.go
@@ -0,0 +1,66 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/platform"
+	"lovageyard.example/lovageyard/quarantine"
+)
+
+// lose lets an instance see a server end under a request.
+func lose(w *quarantine.Watch, server string, request uint64) {
+	s := lovageyard.BackendServer{Name: server, Service: "desk"}
+	w.Lost(s, request)
+	w.Ended(s)
+}
+
+// Each of three instances sees one server end under a request. All of a fleet learn that it is held, one
+// that starts later too, and that another one was answered well.
+func TestAllInstancesHearOfARequestThatEndsServers(t *testing.T) {
+	const count, deadly, popular = 14, 1, 2
+	g := newGroup(t)
+	client := platform.NewStore(g.address, quiet())
+	var watches []*quarantine.Watch
+	start := func(n int) {
+		s := g.settings(fmt.Sprint("entry-", n), 1, client, client)
+		w := quarantine.NewWatch(quarantine.Settings{Prober: silent{}, Timer: s.Timer, Logger: s.Logger, Metrics: s.Metrics})
+		s.Quarantine = w
+		control := g.startWith(s)
+		g.c.Cleanup(func() {
+			g.stop(s.Self.Name)
+			w.Close()
+		})
+		watches = append(watches, w)
+		g.until("readiness", func() bool { return control.View().Ready })
+	}
+	untilAll := func(what string, holds func(w *quarantine.Watch) bool) {
+		for n, w := range watches {
+			g.until(fmt.Sprintf("%s at instance %d", what, n), func() bool { return holds(w) })
+		}
+	}
+	for n := range count {
+		start(n)
+	}
+	for n := range 3 {
+		lose(watches[4*n], fmt.Sprint("server-", n), deadly)
+	}
+	for n := range 2 {
+		lose(watches[5*n], fmt.Sprint("other-", n), popular)
+	}
+	untilAll("the deadly request is held", func(w *quarantine.Watch) bool { return w.Judge(deadly).Held })
+	untilAll("the popular request is suspect", func(w *quarantine.Watch) bool { return w.Judge(popular).Suspect })
+	watches[7].Answered(popular)
+	untilAll("the popular request is cleared", func(w *quarantine.Watch) bool { return !w.Judge(popular).Suspect })
+	start(count)
+	untilAll("the deadly request is held", func(w *quarantine.Watch) bool { return w.Judge(deadly).Held })
+	untilAll("the popular request is cleared", func(w *quarantine.Watch) bool { return !w.Judge(popular).Suspect })
+	g.until("all know the same", func() bool { return watches[0].Digest() == watches[count].Digest() })
+}
+
+// silent finds out nothing of servers.
+type silent struct{}
+
+func (silent) HasEnded(context.Context, lovageyard.BackendServer) bool { return false }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -23,6 +23,7 @@
 	"lovageyard.example/lovageyard/peer/wire"
 	"lovageyard.example/lovageyard/platform"
 	"lovageyard.example/lovageyard/platform/fake"
+	"lovageyard.example/lovageyard/quarantine"
 	"lovageyard.example/lovageyard/timer"
 )
 
@@ -129,10 +130,17 @@
 			CallerAddress: name + ":1", PeerAddress: name + ":2", State: lovageyard.StateLive,
 		},
 		Feed: feed, Registrar: registrar, Decoder: platform.Decoder{}, Peers: peers{network: g.network, self: name + ":2"},
-		Follower: follower{}, Timer: timer.Clock{}, Logger: quiet(), Metrics: meter.NewSet(), Seeds: seeds, Seed: uint64(life),
+		Follower: follower{}, Quarantine: g.quarantine(), Timer: timer.Clock{}, Logger: quiet(), Metrics: meter.NewSet(), Seeds: seeds, Seed: uint64(life),
 	}
 }
 
+// quarantine returns what remembers servers that ended, for one instance.
+func (g *group) quarantine() *quarantine.Watch {
+	w := quarantine.NewWatch(quarantine.Settings{Timer: timer.Clock{}, Logger: quiet(), Metrics: meter.NewSet()})
+	g.c.Cleanup(w.Close)
+	return w
+}
+
 func (g *group) startWith(s fleet.Settings) *fleet.Control {
 	control := fleet.New(s)
 	g.network.mu.Lock()
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -44,8 +44,17 @@
 func (c *Control) shareWithSome() {
 	partners := c.partners()
 	near := slices.DeleteFunc(slices.Clone(partners), func(p partner) bool { return p.region != c.self.Region })
+	c.compareWith(partners[:min(anyFanOut, len(partners))])
 	c.shareWith(near[:min(nearFanOut, len(near))])
-	c.shareWith(partners[:min(anyFanOut, len(partners))])
+}
+
+// compareWith exchanges with peers, and asks them for what they know of crashes if that differs.
+func (c *Control) compareWith(partners []partner) {
+	for _, p := range partners {
+		request := c.request()
+		c.addDigest(request)
+		c.exchange("share "+p.address, p.address, request)
+	}
 }
 
 // shareWithMany exchanges with every known peer, up to a bound.
@@ -88,12 +97,18 @@
 }
 
 func (c *Control) shareAt(p partner) {
+	c.exchange("share "+p.address, p.address, c.request())
+}
+
+// request returns what an exchange with a peer begins with.
+func (c *Control) request() *wire.ShareRequest {
 	request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.pulses()}
 	if c.hasReadAll() {
 		// Before, whole tables are asked for at few peers at a time; see askForRows.
 		request.Cursors = c.cursors()
 	}
-	c.exchange("share "+p.address, p.address, request)
+	c.addNews(request)
+	return request
 }
 
 // askForRows asks a few random peers for whole tables, unless it did so a moment ago.
@@ -165,6 +180,7 @@
 	c.settings.Metrics.Count(meter.PeerExchanges)
 	now := c.settings.Timer.Now()
 	c.hear(m.reply.GetFrom(), m.reply.GetPulses(), now)
+	c.hearCrashes(m.reply.GetCrashes(), m.reply.GetClearances())
 	for _, t := range m.reply.GetChanges() {
 		c.hearChanges(t, now)
 	}
@@ -324,11 +340,14 @@
 func (m asked) Apply(c *Control) {
 	now := c.settings.Timer.Now()
 	c.hear(m.request.GetFrom(), m.request.GetPulses(), now)
+	c.hearCrashes(m.request.GetCrashes(), m.request.GetClearances())
 	changes := c.changesFor(m.request.GetCursors())
 	if m.request.GetWaitMs() > 0 && len(changes) == 0 && !c.isStale() {
 		until := now.Add(time.Duration(m.request.GetWaitMs()) * time.Millisecond)
 		c.waiters = append(c.waiters, waiter{asked: m, until: until})
 		return
 	}
-	m.answer <- c.reply(changes)
+	reply := c.reply(changes)
+	c.answerCrashes(m.request, reply)
+	m.answer <- reply
 }
--- a/integration/deadly_test.go
+++ b/integration/deadly_test.go
@@ -21,8 +21,9 @@
 //	14.814 front-sv-hall-b-1 request repeated attempts=1 server=i-f62a87ce82 connect: connection refused
 //	15.114 front-sv-hall-b-1 request failed attempts=2 server=i-2cb8bcbceb status=502 EOF: the connection was closed before an answer
 //
-// Beside it, other requests fell at up to three servers and were as good as any. A request must not be
-// refused for where it ran, only for what it did.
+// What is remembered of a request is now kept by its content and not by the attempt's identity, and passes
+// between instances. Beside it, other requests fell at up to three servers and were as good as any. A request
+// must not be refused for where it ran, only for what it did.
 
 const (
 	frailService = "frail"
--- a/link/link.go
+++ b/link/link.go
@@ -125,16 +125,44 @@
 	answer, err = l.sendFresh(ctx, r)
 	if err != nil {
 		// Whatever became of the second send, the first may have run.
-		return nil, lovageyard.MayHaveRun("the backend server closed the connection and did not answer again", err)
+		failure := lovageyard.MayHaveRun("the backend server closed the connection and did not answer again", err)
+		failure.Broken, failure.Ended = true, isRefused(err)
+		return nil, failure
 	}
 	return answer, nil
 }
 
+// HasEnded says whether a server's port refuses connections. A connection that is taken is kept for
+// the next request.
+func (l *Link) HasEnded(ctx context.Context, server lovageyard.BackendServer) bool {
+	c, err := dial(ctx, server.Address, dialTimeout)
+	if err != nil {
+		return isRefused(err)
+	}
+	l.mu.Lock()
+	l.opened++
+	l.mu.Unlock()
+	l.give(c, peer{server: server.Name, life: server.Life, address: server.Address}, http.Header{})
+	return false
+}
+
+// isRefused says whether a connection was refused, as nothing listens at the port.
+func isRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// isBroken says whether the server's side of a connection ended it.
+func isBroken(err error) bool {
+	return errors.Is(err, errClosed) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 func (l *Link) sendFresh(ctx context.Context, r Request) (*Answer, error) {
 	began := l.timer.Now()
 	c, err := dial(ctx, r.ServerAddress, dialTimeout)
 	if err != nil {
-		return nil, lovageyard.NotRun("the backend server could not be reached", err)
+		failure := lovageyard.NotRun("the backend server could not be reached", err)
+		failure.Ended = isRefused(err)
+		return nil, failure
 	}
 	l.mu.Lock()
 	l.opened++
@@ -173,7 +201,9 @@
 	if c.writes.Load() == before {
 		return nil, lovageyard.NotRun("no byte of the request was sent", err)
 	}
-	return nil, lovageyard.MayHaveRun("the backend server did not answer", err)
+	failure := lovageyard.MayHaveRun("the backend server did not answer", err)
+	failure.Broken = isBroken(err)
+	return nil, failure
 }
 
 // converse writes the request and reads answers until the one that belongs to it; it
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/link"
@@ -355,3 +356,46 @@
 	requests, _ := before.seen()
 	c.Assert(requests, qt.HasLen, 1)
 }
+
+// failureOf returns an attempt's failure.
+func failureOf(c *qt.C, err error) *lovageyard.RequestError {
+	var failure *lovageyard.RequestError
+	c.Assert(errors.As(err, &failure), qt.IsTrue)
+	return failure
+}
+
+// A server that broke off the request is told from one that could not be reached, and one that has
+// ended from one that goes on.
+func TestFailureTellsWhetherTheServerBrokeOffAndEnded(t *testing.T) {
+	c := qt.New(t)
+	b := newBackendServer(c, "", answer("2", "two"), "")
+	l := newLink(c)
+	_, err := send(c, l, request(b, "1", true))
+	c.Assert(failureOf(c, err).Broken, qt.IsTrue)
+	c.Assert(failureOf(c, err).Ended, qt.IsFalse)
+	_, err = send(c, l, request(b, "2", true))
+	c.Assert(err, qt.IsNil)
+	b.listener.Close()
+	// The kept connection is closed, and a new one refused.
+	_, err = send(c, l, request(b, "3", true))
+	c.Assert(failureOf(c, err).Broken, qt.IsTrue)
+	c.Assert(failureOf(c, err).Ended, qt.IsTrue)
+	_, err = send(c, l, request(b, "4", true))
+	c.Assert(failureOf(c, err).Broken, qt.IsFalse)
+	c.Assert(failureOf(c, err).Ended, qt.IsTrue)
+}
+
+func TestProbeTellsAServerThatEnded(t *testing.T) {
+	c := qt.New(t)
+	b := newBackendServer(c, answer("1", "one"))
+	l := newLink(c)
+	described := lovageyard.BackendServer{Name: "s", Address: b.listener.Addr().String()}
+	c.Assert(l.HasEnded(context.Background(), described), qt.IsFalse)
+	// The probe's connection carries the next request.
+	_, err := send(c, l, request(b, "1", true))
+	c.Assert(err, qt.IsNil)
+	_, conns := b.seen()
+	c.Assert(conns, qt.Equals, 1)
+	b.listener.Close()
+	c.Assert(l.HasEnded(context.Background(), described), qt.IsTrue)
+}
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -25,6 +25,7 @@
 	"lovageyard.example/lovageyard/peer"
 	"lovageyard.example/lovageyard/peer/wire"
 	"lovageyard.example/lovageyard/platform"
+	"lovageyard.example/lovageyard/quarantine"
 	"lovageyard.example/lovageyard/settings"
 	"lovageyard.example/lovageyard/timer"
 )
@@ -59,6 +60,7 @@
 	peers    *peer.Client
 	link     *link.Link
 	dispatch *dispatch.Table
+	watch    *quarantine.Watch
 	control  *fleet.Control
 	callers  *http.Server
 	others   []*http.Server
@@ -151,18 +153,20 @@
 		Bounds:        o.bounds(),
 		Seed:          uint64(self.Life),
 	})
+	e.watch = quarantine.NewWatch(quarantine.Settings{Prober: e.link, Timer: e.timer, Logger: e.logger, Metrics: e.meters})
 	e.control = fleet.New(fleet.Settings{
-		Self:      self,
-		Feed:      e.store,
-		Registrar: e.store,
-		Decoder:   platform.Decoder{Regions: o.Regions},
-		Peers:     e.peers,
-		Follower:  e.dispatch,
-		Timer:     e.timer,
-		Logger:    e.logger,
-		Metrics:   e.meters,
-		Seeds:     o.PeerAddresses,
-		Seed:      uint64(self.Life),
+		Self:       self,
+		Feed:       e.store,
+		Registrar:  e.store,
+		Decoder:    platform.Decoder{Regions: o.Regions},
+		Peers:      e.peers,
+		Follower:   e.dispatch,
+		Quarantine: e.watch,
+		Timer:      e.timer,
+		Logger:     e.logger,
+		Metrics:    e.meters,
+		Seeds:      o.PeerAddresses,
+		Seed:       uint64(self.Life),
 	})
 }
 
@@ -210,13 +214,14 @@
 func (e *edge) serveAll(s *edgeSockets) {
 	o := e.options
 	e.callers = edgeServer(entry.NewHandler(entry.Parts{
-		Source:   e.control,
-		Codec:    platform.Headers{},
-		Sender:   e.link,
-		Dispatch: e.dispatch,
-		Timer:    e.timer,
-		Logger:   e.logger,
-		Metrics:  e.meters,
+		Source:     e.control,
+		Codec:      platform.Headers{},
+		Sender:     e.link,
+		Dispatch:   e.dispatch,
+		Quarantine: e.watch,
+		Timer:      e.timer,
+		Logger:     e.logger,
+		Metrics:    e.meters,
 	}))
 	e.serve(s.callers, e.callers)
 	e.serveOther(s.ready, &entry.Readiness{Source: e.control})
@@ -296,6 +301,7 @@
 		e.callers.Close()
 	}
 	e.control.Close()
+	e.watch.Close()
 	for _, s := range e.others {
 		s.Close()
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -43,6 +43,8 @@
 	InFlight          = Metric{"requests-in-flight", Gauge, nil, "attempts at servers"}
 	ServersKnown      = Metric{"servers-known", Gauge, nil, "backend servers that are registered"}
 	ServersSuspect    = Metric{"servers-suspect", Gauge, nil, "backend servers that are left alone as they did not answer"}
+	ServersEnded      = Metric{"servers-ended", Counter, []string{"service"}, "backend servers seen to end while they had requests"}
+	RequestsHeld      = Metric{"requests-held", Gauge, nil, "requests that are refused as servers end under them"}
 	Connections       = Metric{"connections-opened", Gauge, nil, "connections to servers opened since the start"}
 	ConfigurationNow  = Metric{"configuration-version", Gauge, nil, "version of the configuration in force"}
 	ConfigurationAge  = Metric{"configuration-age", Gauge, nil, "milliseconds since the configuration came into force"}
@@ -65,7 +67,7 @@
 func All() []Metric {
 	return []Metric{
 		Answers, Refusals, Latency, ExpectedWait, Sends, Repeats, RepeatsDenied, ColdSends, ShareElsewhere, InFlight,
-		ServersKnown, ServersSuspect, Connections, ConfigurationNow, ConfigurationAge, InstancesLive,
+		ServersKnown, ServersSuspect, ServersEnded, RequestsHeld, Connections, ConfigurationNow, ConfigurationAge, InstancesLive,
 		ChangeAge, PlatformReads, PlatformFailures, RowsPassedOver, PlatformWrites, PeerExchanges, PeerFailures,
 		PeerRows, PeerRowsKnown, PeerBytes,
 		LogDroppedRoutine, LogDroppedOther,
--- /dev/null
+++ b/quarantine/report.go
@@ -0,0 +1,47 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovageyard.example/lovageyard/instance"
+)
+
+// Server is one life of a backend server; see lovageyard.BackendServer.
+type Server struct {
+	Name string
+	Life int64
+}
+
+// Crash is the end of a server while it had requests.
+type Crash struct {
+	Server Server
+	// Requests are the fingerprints of the requests that were there.
+	Requests []uint64
+	// Age is how long ago it was.
+	Age time.Duration
+}
+
+// Clearance is word of a request that a server answered well.
+type Clearance struct {
+	Request uint64
+	// Age is how long ago it was.
+	Age time.Duration
+}
+
+// Report is what instances tell each other.
+type Report struct {
+	Crashes    []Crash
+	Clearances []Clearance
+}
+
+// IsEmpty says whether the report tells nothing.
+func (r Report) IsEmpty() bool {
+	return len(r.Crashes) == 0 && len(r.Clearances) == 0
+}
+
+// hash returns a number that stands for a life of a server.
+func (s Server) hash() uint64 {
+	return instance.Mix(xxhash.Sum64String(s.Name) ^ uint64(s.Life))
+}
--- /dev/null
+++ b/quarantine/table.go
@@ -0,0 +1,336 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"lovageyard.example/lovageyard/instance"
+)
+
+// Spans and sizes of what a Table remembers.
+const (
+	// confirmWithin is how long a server that broke off may take to show that it has ended.
+	confirmWithin = 5 * time.Second
+	// memory is how long crashes count in which a request was that other crashes met as well, and
+	// so how long a request is held. A shorter one costs three more servers each time it ends.
+	memory = 10 * time.Minute
+	// briefMemory is how long other crashes count. On a day on which many servers end, each of
+	// them is remembered with all that it had.
+	briefMemory = 2 * time.Minute
+	// maxCrashes bounds the crashes that are remembered, and maxRequests the requests of each: more
+	// than a server's slots and queue hold.
+	maxCrashes  = 128
+	maxRequests = 64
+)
+
+// crash is a server that broke off requests, and may have ended.
+type crash struct {
+	at time.Time
+	// heardAt is when this instance last learnt something of it.
+	heardAt  time.Time
+	ended    bool
+	requests map[uint64]bool
+}
+
+// clearance is when a request was answered well.
+type clearance struct {
+	at      time.Time
+	heardAt time.Time
+}
+
+// Table remembers which requests were at servers that ended. Its methods may be called from several
+// goroutines.
+type Table struct {
+	mu      sync.RWMutex
+	crashes map[Server]*crash
+	cleared map[uint64]clearance
+	judged  judgements
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{crashes: make(map[Server]*crash), cleared: make(map[uint64]clearance), judged: newJudgements()}
+}
+
+// Lose notes that a server broke off a request, and says whether it is not known yet whether the
+// server has ended.
+func (t *Table) Lose(server Server, request uint64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.crashes[server]
+	if c == nil {
+		c = &crash{at: now, requests: make(map[uint64]bool)}
+		t.crashes[server] = c
+	}
+	t.add(c, request, now)
+	return !c.ended
+}
+
+// add notes that a request was at a server, and says whether that is news. Nearly all requests that
+// fall with a server were at no other, so that nothing has to be worked out anew for them.
+func (t *Table) add(c *crash, request uint64, now time.Time) bool {
+	if c.requests[request] || len(c.requests) >= maxRequests {
+		return false
+	}
+	c.requests[request] = true
+	c.heardAt = now
+	if c.ended {
+		t.count(c, request, now)
+	}
+	return true
+}
+
+// count counts an end of a server against a request that was there.
+func (t *Table) count(c *crash, request uint64, now time.Time) {
+	if t.isCleared(c, request) {
+		return
+	}
+	t.judged.counts[request]++
+	if t.judged.counts[request] >= enough {
+		t.judge(now)
+		return
+	}
+	if !t.isExplained(c) {
+		t.judged.suspects[request] = true
+	}
+}
+
+// isExplained says whether a request is held that was at a crash.
+func (t *Table) isExplained(c *crash) bool {
+	for request := range c.requests {
+		if _, held := t.judged.held[request]; held {
+			return true
+		}
+	}
+	return false
+}
+
+// isCleared says whether a request was answered well since a crash.
+func (t *Table) isCleared(c *crash, request uint64) bool {
+	cleared, found := t.cleared[request]
+	return found && !cleared.at.Before(c.at)
+}
+
+// End notes that a server has ended, and returns the requests that it had if that is news.
+func (t *Table) End(server Server, now time.Time) []uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.crashes[server]
+	if c == nil || c.ended {
+		return nil
+	}
+	t.end(c, now)
+	return slices.Sorted(maps.Keys(c.requests))
+}
+
+// end notes that the server of a crash has ended.
+func (t *Table) end(c *crash, now time.Time) {
+	c.ended = true
+	c.heardAt = now
+	for request := range c.requests {
+		t.count(c, request, now)
+	}
+	t.bound(now)
+}
+
+// Clear notes that a server answered a request well, and says whether other instances should know. They
+// needn't of a request that was at one crash, as most are that fell with a server: on a day on which
+// many servers end, that would be thousands.
+func (t *Table) Clear(request uint64, now time.Time) bool {
+	if !t.isKnown(request) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.judged.counts[request] < 2 {
+		delete(t.judged.suspects, request)
+		return false
+	}
+	t.clear(request, clearance{at: now, heardAt: now}, now)
+	return true
+}
+
+// clear notes that a request was answered well.
+func (t *Table) clear(request uint64, c clearance, now time.Time) {
+	t.cleared[request] = c
+	if t.judged.counts[request] >= enough {
+		t.judge(now)
+		return
+	}
+	delete(t.judged.counts, request)
+	delete(t.judged.suspects, request)
+}
+
+// isKnown says whether a request counts as one that was at a server which ended. Nearly all
+// requests are not, and ask no more than that.
+func (t *Table) isKnown(request uint64) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.judged.counts[request] > 0
+}
+
+// Judge returns what is thought of a request.
+func (t *Table) Judge(request uint64, now time.Time) Judgement {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if h, found := t.judged.held[request]; found && now.Before(h.Until) {
+		return Judgement{Held: true, Until: h.Until}
+	}
+	return Judgement{Suspect: t.judged.suspects[request]}
+}
+
+// Held returns the requests that are held, in order.
+func (t *Table) Held() []Hold {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return slices.SortedFunc(maps.Values(t.judged.held), func(a, b Hold) int { return cmp.Compare(a.Request, b.Request) })
+}
+
+// Expire forgets what is too old to count.
+func (t *Table) Expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := len(t.crashes) + len(t.cleared)
+	maps.DeleteFunc(t.crashes, func(_ Server, c *crash) bool { return now.Sub(c.at) > t.lifetime(c) })
+	maps.DeleteFunc(t.cleared, func(_ uint64, c clearance) bool { return now.Sub(c.at) > memory })
+	if len(t.crashes)+len(t.cleared) != before {
+		t.judge(now)
+	}
+}
+
+// lifetime returns how long a crash is remembered.
+func (t *Table) lifetime(c *crash) time.Duration {
+	switch {
+	case !c.ended:
+		return confirmWithin
+	case t.isRepeated(c):
+		return memory
+	}
+	return briefMemory
+}
+
+// isRepeated says whether a crash had a request that was at others too.
+func (t *Table) isRepeated(c *crash) bool {
+	for request := range c.requests {
+		if t.judged.counts[request] > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// Merge takes in what another instance tells, and says whether any of it was news.
+func (t *Table) Merge(r Report, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	news := false
+	for _, told := range r.Crashes {
+		news = t.mergeCrash(told, now) || news
+	}
+	for _, told := range r.Clearances {
+		at := now.Add(-told.Age)
+		if known, found := t.cleared[told.Request]; told.Age < memory && (!found || at.After(known.at.Add(clockSlack))) {
+			t.clear(told.Request, clearance{at: at, heardAt: now}, now)
+			news = true
+		}
+	}
+	return news
+}
+
+// clockSlack is how far the ages of one event may differ between instances, as the way of a
+// message counts as none of it.
+const clockSlack = time.Second
+
+func (t *Table) mergeCrash(told Crash, now time.Time) bool {
+	if told.Age >= briefMemory && t.crashes[told.Server] == nil && !t.repeats(told) || told.Age >= memory {
+		return false
+	}
+	c := t.crashes[told.Server]
+	if c == nil {
+		c = &crash{at: now.Add(-told.Age), requests: make(map[uint64]bool)}
+		t.crashes[told.Server] = c
+	}
+	news := false
+	for _, request := range told.Requests {
+		news = t.add(c, request, now) || news
+	}
+	if !c.ended {
+		t.end(c, now)
+		news = true
+	}
+	return news
+}
+
+// repeats says whether a crash that another instance tells of has a request that is known here.
+func (t *Table) repeats(told Crash) bool {
+	return slices.ContainsFunc(told.Requests, func(request uint64) bool { return t.judged.counts[request] > 0 })
+}
+
+// Report returns all that other instances should know.
+func (t *Table) Report(now time.Time) Report {
+	return t.ReportSince(time.Time{}, now)
+}
+
+// ReportSince returns what this instance has learnt since a moment.
+func (t *Table) ReportSince(since, now time.Time) Report {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var r Report
+	for server, c := range t.crashes {
+		if c.ended && !c.heardAt.Before(since) {
+			r.Crashes = append(r.Crashes, Crash{Server: server, Requests: slices.Sorted(maps.Keys(c.requests)), Age: now.Sub(c.at)})
+		}
+	}
+	for request, c := range t.cleared {
+		if !c.heardAt.Before(since) {
+			r.Clearances = append(r.Clearances, Clearance{Request: request, Age: now.Sub(c.at)})
+		}
+	}
+	slices.SortFunc(r.Crashes, func(a, b Crash) int { return cmp.Compare(a.Server.hash(), b.Server.hash()) })
+	slices.SortFunc(r.Clearances, func(a, b Clearance) int { return cmp.Compare(a.Request, b.Request) })
+	return r
+}
+
+// Digest returns a number that is the same for tables that know the same.
+func (t *Table) Digest() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	digest := uint64(0)
+	for server, c := range t.crashes {
+		if !c.ended {
+			continue
+		}
+		for request := range c.requests {
+			digest ^= instance.Mix(server.hash() ^ request)
+		}
+	}
+	for request := range t.cleared {
+		digest ^= instance.Mix(request)
+	}
+	return digest
+}
+
+// bound forgets crashes beyond the bound, first those whose requests no other one had. Which ones
+// doesn't depend on when this instance heard of them, so that instances agree.
+func (t *Table) bound(now time.Time) {
+	if len(t.crashes) <= maxCrashes {
+		return
+	}
+	servers := slices.Collect(maps.Keys(t.crashes))
+	slices.SortFunc(servers, func(a, b Server) int {
+		if repeated := t.isRepeated(t.crashes[a]); repeated != t.isRepeated(t.crashes[b]) {
+			if repeated {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.hash(), b.hash())
+	})
+	for _, server := range servers[maxCrashes:] {
+		delete(t.crashes, server)
+	}
+	t.judge(now)
+}
--- a/verdict.go
+++ b/verdict.go
@@ -30,6 +30,10 @@
 	Verdict Verdict
 	Reason  string
 	Cause   error
+	// Broken says that the server broke off the connection while it had the request.
+	Broken bool
+	// Ended says that the server has ended: its port refuses connections, or is another's.
+	Ended bool
 }
 
 // Error returns the reason and the cause.
