--- a/integration/deadly_test.go
+++ b/integration/deadly_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -91,13 +92,16 @@
 func (f *frailFleet) send(e *edge, path string) *http.Response {
 	f.mu.Lock()
 	f.ids++
-	id := fmt.Sprint("attempt-", f.ids)
+	number := f.ids
 	f.mu.Unlock()
 	request, err := http.NewRequest(http.MethodGet, "http://"+e.address+path, strings.NewReader(""))
 	f.c.Check(err, qt.IsNil)
 	request.Host = edgeHost
-	fake.SetHeaders(request.Header, id, "object", 10*time.Second)
-	response, err := http.DefaultClient.Do(request)
+	fake.SetHeaders(request.Header, fmt.Sprint("attempt-", number), "object", 10*time.Second)
+	// Each attempt comes from another address.
+	from := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 1, byte(number))}}
+	transport := &http.Transport{DialContext: from.DialContext, DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
 	f.c.Assert(err, qt.IsNil)
 	f.c.Check(response.Body.Close(), qt.IsNil)
 	return response
