A request is recognized whatever address it comes from

Cause: the fingerprint held the address that the attempt came from. The same request came at instances of three regions within 1.2 s, so from clients in three regions. No server is told that address, so it can't be why one ends.

Change: a request is what its server is sent: credentials, method, host, target, body.

Why it holds: two attempts that differ for a server still differ; what differs only for us no longer does.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -340,7 +340,6 @@
 		fields["cause"] = x.cause
 	}
 	if x.cause == causeHeld {
-		fields["caller"] = callerOf(x.request)
 		fields["fingerprint"] = quarantine.Format(x.fingerprint)
 	}
 	if x.route != nil {
@@ -359,7 +358,6 @@
 		fields["load-age-ms"] = a.choice.LoadAge.Milliseconds()
 		fields["verdict"] = string(a.verdict())
 		if a.err != nil {
-			fields["caller"] = callerOf(x.request)
 			fields["fingerprint"] = quarantine.Format(x.fingerprint)
 		}
 		if a.choice.Object != 0 {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -178,7 +177,7 @@
 // content returns what the request has in common with other attempts at it.
 func (x *exchange) content() quarantine.Content {
 	return quarantine.Content{
-		Caller: callerOf(x.request),
+		Caller: x.request.Header.Get("Authorization"),
 		Method: x.request.Method,
 		Host:   x.request.Host,
 		Target: x.request.RequestURI,
@@ -186,18 +185,6 @@
 	}
 }
 
-// callerOf returns who sent a request: its credentials, or its address if it has none.
-func callerOf(r *http.Request) string {
-	if credentials := r.Header.Get("Authorization"); credentials != "" {
-		return credentials
-	}
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr
-	}
-	return host
-}
-
 // path returns the request's path as the client wrote it, without the query.
 func (x *exchange) path() string {
 	path, _, _ := strings.Cut(x.request.RequestURI, "?")
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -63,7 +63,7 @@
 // A caller whose request fell beside a deadly one, at the same three servers, is served.
 func TestCallerThatFellBesideADeadlyRequestIsServed(t *testing.T) {
 	y := newCrashYard(t, true, 1, broken(), broken(), broken(), good(200), broken(), good(200))
-	beside := quarantine.Content{Caller: "192.0.2.1", Method: http.MethodGet, Host: "a.example", Target: "/x/beside"}.Fingerprint()
+	beside := quarantine.Content{Method: http.MethodGet, Host: "a.example", Target: "/x/beside"}.Fingerprint()
 	for n := range 3 {
 		y.ask(http.MethodGet, "/x/deadly", "")
 		y.watch.Lost(lovageyard.BackendServer{Name: y.sender.sent[n].Server}, beside)
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -6,9 +6,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Content is what makes two requests the same, whatever identity each attempt has of its own.
+// Content is what makes two requests the same for a backend server, whatever identity each attempt has
+// of its own. The address that an attempt comes from is none of it: no server sees that, and callers
+// come back from other addresses.
 type Content struct {
-	// Caller is who asks: its credentials, or its address if it has none.
+	// Caller is who asks, by its credentials; "" if it has none.
 	Caller string
 	Method string
 	Host   string
