Ends that came together, and recent answers, do not hold a request

What callers would have seen: a request that a client sends again and again, or that many callers send, is at several servers at once. If a failure domain loses its servers, it was at three ends, and would have been refused for ten minutes for a crash that it did not cause.

Cause: ends were counted whatever their order, and only answers after an end spoke for a request.

Change: an end counts if the request was sent there after the end before it; a request that was answered well in the last two seconds is not noted at all. The earliest word of an end is kept, as word takes time on its way.

Why it holds: a request that ends servers goes from one end to the next; what was at many servers at the same moment did not. Tests: TestServersThatEndTogetherCountOnce and TestRequestThatWasAnsweredAMomentAgoIsNoSuspect fail without it.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -41,6 +41,7 @@
 	choice dispatch.Choice
 	answer *link.Answer
 	err    *lovageyard.RequestError
+	sentAt time.Time
 	took   time.Duration
 }
 
@@ -126,7 +127,7 @@
 	began := x.handler.Timer.Now()
 	answer, err := x.handler.Sender.Send(ctx, x.outgoing(choice, began))
 	now := x.handler.Timer.Now()
-	a := &attempt{choice: choice, answer: answer, took: now.Sub(began)}
+	a := &attempt{choice: choice, answer: answer, sentAt: began, took: now.Sub(began)}
 	if err != nil && !errors.As(err, &a.err) {
 		a.err = lovageyard.MayHaveRun("the backend server did not answer", err)
 	}
@@ -149,7 +150,7 @@
 	q := x.handler.Quarantine
 	if a.err != nil && a.err.Broken {
 		x.broken++
-		q.Lost(a.choice.Server, x.fingerprint)
+		q.Lost(a.choice.Server, x.fingerprint, a.sentAt)
 	}
 	if a.err != nil && a.err.Ended || a.answer != nil && a.answer.Meta.Misdirected {
 		q.Ended(a.choice.Server)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -46,7 +46,7 @@
 // Quarantine judges requests by the servers that ended under them; requests go by their fingerprints.
 type Quarantine interface {
 	Judge(request uint64) quarantine.Judgement
-	Lost(server lovageyard.BackendServer, request uint64)
+	Lost(server lovageyard.BackendServer, request uint64, sentAt time.Time)
 	Ended(server lovageyard.BackendServer)
 	Answered(request uint64)
 }
--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -101,7 +101,7 @@
 	var crashes []*wire.Crash
 	for _, crash := range r.Crashes {
 		crashes = append(crashes, &wire.Crash{
-			Server: crash.Server.Name, Life: crash.Server.Life, Requests: crash.Requests, AgeMs: crash.Age.Milliseconds(),
+			Server: crash.Server.Name, Life: crash.Server.Life, Losses: toLosses(crash.Losses), AgeMs: crash.Age.Milliseconds(),
 		})
 	}
 	var clearances []*wire.Clearance
@@ -115,16 +115,37 @@
 	var r quarantine.Report
 	for _, crash := range crashes {
 		r.Crashes = append(r.Crashes, quarantine.Crash{
-			Server:   quarantine.Server{Name: crash.GetServer(), Life: crash.GetLife()},
-			Requests: crash.GetRequests(),
-			Age:      max(0, time.Duration(crash.GetAgeMs())*time.Millisecond),
+			Server: quarantine.Server{Name: crash.GetServer(), Life: crash.GetLife()},
+			Losses: fromLosses(crash.GetLosses()),
+			Age:    toAge(crash.GetAgeMs()),
 		})
 	}
 	for _, clearance := range clearances {
 		r.Clearances = append(r.Clearances, quarantine.Clearance{
 			Request: clearance.GetRequest(),
-			Age:     max(0, time.Duration(clearance.GetAgeMs())*time.Millisecond),
+			Age:     toAge(clearance.GetAgeMs()),
 		})
 	}
 	return r
 }
+
+func toLosses(losses []quarantine.Loss) []*wire.Loss {
+	var out []*wire.Loss
+	for _, l := range losses {
+		out = append(out, &wire.Loss{Request: l.Request, SentAgeMs: l.SentAge.Milliseconds()})
+	}
+	return out
+}
+
+func fromLosses(losses []*wire.Loss) []quarantine.Loss {
+	var out []quarantine.Loss
+	for _, l := range losses {
+		out = append(out, quarantine.Loss{Request: l.GetRequest(), SentAge: toAge(l.GetSentAgeMs())})
+	}
+	return out
+}
+
+// toAge returns an age of a message, which can't be below 0.
+func toAge(milliseconds int64) time.Duration {
+	return max(0, time.Duration(milliseconds)*time.Millisecond)
+}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -17,12 +17,20 @@
 // Crash is the end of a server while it had requests.
 type Crash struct {
 	Server Server
-	// Requests are the fingerprints of the requests that were there.
-	Requests []uint64
+	// Losses are the requests that were there.
+	Losses []Loss
 	// Age is how long ago it was.
 	Age time.Duration
 }
 
+// Loss is a request that fell with its server.
+type Loss struct {
+	// Request is the request's fingerprint.
+	Request uint64
+	// SentAge is how long ago it was sent to the server.
+	SentAge time.Duration
+}
+
 // Clearance is word of a request that a server answered well.
 type Clearance struct {
 	Request uint64
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lovageyard.example/lovageyard/instance"
@@ -26,13 +27,43 @@
 	maxRequests = 64
 )
 
+// Recent answers.
+const (
+	// recentFor is how long before a crash a good answer still speaks for a request.
+	recentFor = 2 * time.Second
+	// recentSlots is how many requests are remembered as answered of late: those that come
+	// often, which are at many servers at once.
+	recentSlots = 4096
+)
+
+// recent remembers which requests were answered well of late, without a lock, as it is told of every
+// answer. A request is at the slot that its fingerprint gives; the last one there stays.
+type recent [recentSlots]atomic.Pointer[recentAnswer]
+
+// recentAnswer is the last good answer to a request.
+type recentAnswer struct {
+	request uint64
+	at      time.Time
+}
+
+func (r *recent) note(request uint64, now time.Time) {
+	r[request%recentSlots].Store(&recentAnswer{request: request, at: now})
+}
+
+// has says whether a request was answered well of late.
+func (r *recent) has(request uint64, now time.Time) bool {
+	last := r[request%recentSlots].Load()
+	return last != nil && last.request == request && now.Sub(last.at) <= recentFor
+}
+
 // crash is a server that broke off requests, and may have ended.
 type crash struct {
 	at time.Time
 	// heardAt is when this instance last learnt something of it.
-	heardAt  time.Time
-	ended    bool
-	requests map[uint64]bool
+	heardAt time.Time
+	ended   bool
+	// sentAt is when each request was sent to the server, by its fingerprint.
+	sentAt map[uint64]time.Time
 }
 
 // clearance is when a request was answered well.
@@ -48,6 +79,7 @@
 	crashes map[Server]*crash
 	cleared map[uint64]clearance
 	judged  judgements
+	recent  recent
 }
 
 // NewTable returns an empty table.
@@ -55,27 +87,31 @@
 	return &Table{crashes: make(map[Server]*crash), cleared: make(map[uint64]clearance), judged: newJudgements()}
 }
 
-// Lose notes that a server broke off a request, and says whether it is not known yet whether the
-// server has ended.
-func (t *Table) Lose(server Server, request uint64, now time.Time) bool {
+// Lose notes that a server broke off a request. It says whether it is open whether the server has ended,
+// and whether others should know, as it has. A request that was answered well a moment ago, as one that many callers send, does
+// not end servers: it was there by chance.
+func (t *Table) Lose(server Server, request uint64, sentAt, now time.Time) (open, news bool) {
+	if t.recent.has(request, now) {
+		return false, false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.crashes[server]
 	if c == nil {
-		c = &crash{at: now, requests: make(map[uint64]bool)}
+		c = &crash{at: now, sentAt: make(map[uint64]time.Time)}
 		t.crashes[server] = c
 	}
-	t.add(c, request, now)
-	return !c.ended
+	added := t.add(c, request, sentAt, now)
+	return !c.ended, c.ended && added
 }
 
 // add notes that a request was at a server, and says whether that is news. Nearly all requests that
 // fall with a server were at no other, so that nothing has to be worked out anew for them.
-func (t *Table) add(c *crash, request uint64, now time.Time) bool {
-	if c.requests[request] || len(c.requests) >= maxRequests {
+func (t *Table) add(c *crash, request uint64, sentAt, now time.Time) bool {
+	if _, known := c.sentAt[request]; known || len(c.sentAt) >= maxRequests {
 		return false
 	}
-	c.requests[request] = true
+	c.sentAt[request] = sentAt
 	c.heardAt = now
 	if c.ended {
 		t.count(c, request, now)
@@ -100,7 +136,7 @@
 
 // isExplained says whether a request is held that was at a crash.
 func (t *Table) isExplained(c *crash) bool {
-	for request := range c.requests {
+	for request := range c.sentAt {
 		if _, held := t.judged.held[request]; held {
 			return true
 		}
@@ -123,14 +159,14 @@
 		return nil
 	}
 	t.end(c, now)
-	return slices.Sorted(maps.Keys(c.requests))
+	return slices.Sorted(maps.Keys(c.sentAt))
 }
 
 // end notes that the server of a crash has ended.
 func (t *Table) end(c *crash, now time.Time) {
 	c.ended = true
 	c.heardAt = now
-	for request := range c.requests {
+	for request := range c.sentAt {
 		t.count(c, request, now)
 	}
 	t.bound(now)
@@ -140,6 +176,7 @@
 // needn't of a request that was at one crash, as most are that fell with a server: on a day on which
 // many servers end, that would be thousands.
 func (t *Table) Clear(request uint64, now time.Time) bool {
+	t.recent.note(request, now)
 	if !t.isKnown(request) {
 		return false
 	}
@@ -214,7 +251,7 @@
 
 // isRepeated says whether a crash had a request that was at others too.
 func (t *Table) isRepeated(c *crash) bool {
-	for request := range c.requests {
+	for request := range c.sentAt {
 		if t.judged.counts[request] > 1 {
 			return true
 		}
@@ -248,14 +285,20 @@
 	if told.Age >= briefMemory && t.crashes[told.Server] == nil && !t.repeats(told) || told.Age >= memory {
 		return false
 	}
+	at := now.Add(-told.Age)
 	c := t.crashes[told.Server]
 	if c == nil {
-		c = &crash{at: now.Add(-told.Age), requests: make(map[uint64]bool)}
+		c = &crash{at: at, sentAt: make(map[uint64]time.Time)}
 		t.crashes[told.Server] = c
 	}
+	if at.Before(c.at) {
+		// Word that took less time on its way is nearer to the truth. A request that was sent on since
+		// would else seem to have been sent before.
+		c.at = at
+	}
 	news := false
-	for _, request := range told.Requests {
-		news = t.add(c, request, now) || news
+	for _, l := range told.Losses {
+		news = t.add(c, l.Request, now.Add(-l.SentAge), now) || news
 	}
 	if !c.ended {
 		t.end(c, now)
@@ -266,7 +309,7 @@
 
 // repeats says whether a crash that another instance tells of has a request that is known here.
 func (t *Table) repeats(told Crash) bool {
-	return slices.ContainsFunc(told.Requests, func(request uint64) bool { return t.judged.counts[request] > 0 })
+	return slices.ContainsFunc(told.Losses, func(l Loss) bool { return t.judged.counts[l.Request] > 0 })
 }
 
 // Report returns all that other instances should know.
@@ -281,7 +324,7 @@
 	var r Report
 	for server, c := range t.crashes {
 		if c.ended && !c.heardAt.Before(since) {
-			r.Crashes = append(r.Crashes, Crash{Server: server, Requests: slices.Sorted(maps.Keys(c.requests)), Age: now.Sub(c.at)})
+			r.Crashes = append(r.Crashes, Crash{Server: server, Losses: c.losses(now), Age: now.Sub(c.at)})
 		}
 	}
 	for request, c := range t.cleared {
@@ -294,6 +337,15 @@
 	return r
 }
 
+// losses returns the requests that fell with a server, in order.
+func (c *crash) losses(now time.Time) []Loss {
+	var losses []Loss
+	for _, request := range slices.Sorted(maps.Keys(c.sentAt)) {
+		losses = append(losses, Loss{Request: request, SentAge: now.Sub(c.sentAt[request])})
+	}
+	return losses
+}
+
 // Digest returns a number that is the same for tables that know the same.
 func (t *Table) Digest() uint64 {
 	t.mu.RLock()
@@ -303,7 +355,7 @@
 		if !c.ended {
 			continue
 		}
-		for request := range c.requests {
+		for request := range c.sentAt {
 			digest ^= instance.Mix(server.hash() ^ request)
 		}
 	}
