Held requests are kept on the platform

What callers would have seen: all instances end at once, and the request that was held ends three servers more before it is held again; with sends that cross the word of an end, more than operators allow.

Cause: what is known of a request was in the memory of instances only.

Change: the instance that holds a request by what it saw itself writes one row with the ends under it; an instance that starts reads these rows once, and removes those of requests that are held no more. One call an instance and start, one for each request held; no table more is followed.

Why it holds: rows outlive instances, and a row is believed like word of a peer. TestHeldRequestIsKnownAfterAllInstancesEnded fails without it.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -151,6 +151,7 @@
 		c.inbox.Go(func() { c.follow(table) })
 	}
 	c.inbox.Go(c.register)
+	c.inbox.Go(c.readHolds)
 }
 
 // Close ends the loop and all calls, and waits for them.
@@ -180,6 +181,7 @@
 			}
 		case <-c.settings.Quarantine.News():
 			c.tellCrashes()
+			c.keepHolds()
 		case m := <-c.inbox.Messages():
 			m.Apply(c)
 		case <-c.inbox.Context().Done():
--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -35,6 +35,11 @@
 	// Digest returns a number that is the same for instances that know the same.
 	Digest() uint64
 	Tick(now time.Time)
+	Judge(request uint64) quarantine.Judgement
+	// Found returns the requests that are held since the last call by what this instance saw itself.
+	Found() []uint64
+	// ReportOf returns the crashes under one request.
+	ReportOf(request uint64) quarantine.Report
 }
 
 // tellCrashes tells a few random peers what is new.
--- /dev/null
+++ b/fleet/hold_test.go
@@ -0,0 +1,49 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/platform"
+	"lovageyard.example/lovageyard/quarantine"
+)
+
+// All instances end at once, and with them all that they remember. The platform keeps which requests are
+// held, so that no server has to end for it again.
+func TestHeldRequestIsKnownAfterAllInstancesEnded(t *testing.T) {
+	const deadly = 0xdead
+	g := newGroup(t)
+	client := platform.NewStore(g.address, quiet())
+	start := func(name string) *quarantine.Watch {
+		s := g.settings(name, 1, client, client)
+		w := quarantine.NewWatch(quarantine.Settings{Prober: silent{}, Timer: s.Timer, Logger: s.Logger, Metrics: s.Metrics})
+		s.Quarantine = w
+		control := g.startWith(s)
+		g.c.Cleanup(w.Close)
+		g.until("readiness", func() bool { return control.View().Ready })
+		return w
+	}
+	first := start("entry-0")
+	for n := range 3 {
+		time.Sleep(2 * time.Millisecond)
+		lose(first, fmt.Sprint("server-", n), deadly)
+	}
+	rows := func() []lovageyard.Row {
+		list, err := client.Rows(t.Context(), lovageyard.TableHolds)
+		g.c.Assert(err, qt.IsNil)
+		return list.Rows
+	}
+	g.until("the row", func() bool { return len(rows()) == 1 })
+	// A row of long ago, and one that another program wrote.
+	g.store.Put(platform.StoreTable(lovageyard.TableHolds), "1", map[string]any{"crashes": []any{}})
+	g.store.Put(platform.StoreTable(lovageyard.TableHolds), "none", "nonsense")
+	g.stop("entry-0")
+	second := start("entry-1")
+	defer g.stop("entry-1")
+	g.until("the request is held", func() bool { return second.Judge(deadly).Held })
+	g.until("the old row is gone", func() bool { return len(rows()) == 2 })
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -264,8 +264,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	news := false
+	repeated := t.repeated(r)
 	for _, told := range r.Crashes {
-		news = t.mergeCrash(told, now) || news
+		if told.Age < briefMemory || told.Age < memory && told.has(repeated) {
+			news = t.mergeCrash(told, now) || news
+		}
 	}
 	for _, told := range r.Clearances {
 		at := now.Add(-told.Age)
@@ -282,9 +285,6 @@
 const clockSlack = time.Second
 
 func (t *Table) mergeCrash(told Crash, now time.Time) bool {
-	if told.Age >= briefMemory && t.crashes[told.Server] == nil && !t.repeats(told) || told.Age >= memory {
-		return false
-	}
 	at := now.Add(-told.Age)
 	c := t.crashes[told.Server]
 	if c == nil {
@@ -307,9 +307,24 @@
 	return news
 }
 
-// repeats says whether a crash that another instance tells of has a request that is known here.
-func (t *Table) repeats(told Crash) bool {
-	return slices.ContainsFunc(told.Losses, func(l Loss) bool { return t.judged.counts[l.Request] > 0 })
+// repeated returns the requests of a report that were at more than one crash that is known here or told of.
+func (t *Table) repeated(r Report) map[uint64]bool {
+	seen := make(map[uint64]bool)
+	repeated := make(map[uint64]bool)
+	for _, told := range r.Crashes {
+		for _, l := range told.Losses {
+			if seen[l.Request] || t.judged.counts[l.Request] > 0 {
+				repeated[l.Request] = true
+			}
+			seen[l.Request] = true
+		}
+	}
+	return repeated
+}
+
+// has says whether a crash had one of some requests.
+func (c Crash) has(requests map[uint64]bool) bool {
+	return slices.ContainsFunc(c.Losses, func(l Loss) bool { return requests[l.Request] })
 }
 
 // Report returns all that other instances should know.
@@ -317,6 +332,22 @@
 	return t.ReportSince(time.Time{}, now)
 }
 
+// ReportOf returns the crashes under one request, without what else was there.
+func (t *Table) ReportOf(request uint64, now time.Time) Report {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var r Report
+	for server, c := range t.crashes {
+		if sentAt, found := c.sentAt[request]; found && c.ended {
+			r.Crashes = append(r.Crashes, Crash{
+				Server: server, Losses: []Loss{{Request: request, SentAge: now.Sub(sentAt)}}, Age: now.Sub(c.at),
+			})
+		}
+	}
+	slices.SortFunc(r.Crashes, func(a, b Crash) int { return cmp.Compare(b.Age, a.Age) })
+	return r
+}
+
 // ReportSince returns what this instance has learnt since a moment.
 func (t *Table) ReportSince(since, now time.Time) Report {
 	t.mu.RLock()
--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -39,8 +39,10 @@
 
 	mu      sync.Mutex
 	probing map[Server]bool
-	// shown holds the requests whose hold has been logged.
+	// shown holds the requests whose hold has been logged, and found those that are held by what was
+	// seen here and have not been asked for.
 	shown map[uint64]bool
+	found []uint64
 }
 
 // NewWatch returns a Watch that has seen nothing.
@@ -143,9 +145,26 @@
 	return w.table.Digest()
 }
 
+// Found returns the requests that are held since the last call by what this instance saw itself.
+func (w *Watch) Found() []uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	found := w.found
+	w.found = nil
+	return found
+}
+
+// ReportOf returns the crashes under one request.
+func (w *Watch) ReportOf(request uint64) Report {
+	return w.table.ReportOf(request, w.settings.Timer.Now())
+}
+
 // tell makes known that there is news; nobody waits for it to be taken.
 func (w *Watch) tell() {
-	w.showHeld()
+	began := w.showHeld()
+	w.mu.Lock()
+	w.found = append(w.found, began...)
+	w.mu.Unlock()
 	select {
 	case w.news <- struct{}{}:
 	default:
@@ -172,16 +191,18 @@
 	})
 }
 
-// showHeld writes a line for each request whose hold has begun or ended.
-func (w *Watch) showHeld() {
+// showHeld writes a line for each request whose hold has begun or ended, and returns the first.
+func (w *Watch) showHeld() []uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	held := make(map[uint64]bool)
+	var began []uint64
 	for _, h := range w.table.Held() {
 		held[h.Request] = true
 		if w.shown[h.Request] {
 			continue
 		}
+		began = append(began, h.Request)
 		w.settings.Logger.WithFields(logrus.Fields{
 			"fingerprint": Format(h.Request),
 			"servers":     h.Servers,
@@ -195,6 +216,7 @@
 	}
 	w.shown = held
 	w.settings.Metrics.Update(meter.RequestsHeld, int64(len(held)))
+	return began
 }
 
 func lifeOf(server lovageyard.BackendServer) Server {
--- a/steering.go
+++ b/steering.go
@@ -61,6 +61,8 @@
 	TableOrders    = "orders"
 	TableServers   = "servers"
 	TableInstances = "instances"
+	// TableHolds has the requests that are refused as servers end under them; it is not followed.
+	TableHolds = "holds"
 )
 
 // FollowedTables lists the tables that each entry instance follows.
