A refused second send leaves the first in doubt

What callers saw: a look-up whose connection closed as it was sent, and whose second send over a fresh connection met another server at the address (421) or a full one (503), was answered 503 as not run, though the first send may have run. Found by reading while the incident was traced; of look-ups only, as nothing else is sent again.

Cause: the second answer alone gave the verdict.

Change: a refusal of the second send is a failure that may have run; a 421 also says that the server has ended.

Why it holds: the verdict now covers both sends, whatever the second one's answer is. TestRefusedSecondSendLeavesTheFirstInDoubt failed before.

--- a/link/link.go
+++ b/link/link.go
@@ -122,14 +122,25 @@
 	if r.MayResend == nil || !r.MayResend() {
 		return answer, err
 	}
-	answer, err = l.sendFresh(ctx, r)
-	if err != nil {
-		// Whatever became of the second send, the first may have run.
-		failure := lovageyard.MayHaveRun("the backend server closed the connection and did not answer again", err)
-		failure.Broken, failure.Ended = true, isRefused(err)
-		return nil, failure
+	return l.resend(ctx, r)
+}
+
+// resend sends a request again that a server broke off. Whatever becomes of the second send, the first
+// may have run: a refusal of the second, which is true of itself, is none of the request.
+func (l *Link) resend(ctx context.Context, r Request) (*Answer, error) {
+	answer, err := l.sendFresh(ctx, r)
+	if err == nil && !answer.Meta.NotRun {
+		return answer, nil
+	}
+	reason := "the backend server closed the connection and did not answer again"
+	ended := isRefused(err)
+	if err == nil {
+		reason = "the backend server closed the connection and refused the request sent again"
+		ended = answer.Meta.Misdirected
 	}
-	return answer, nil
+	failure := lovageyard.MayHaveRun(reason, err)
+	failure.Broken, failure.Ended = true, ended
+	return nil, failure
 }
 
 // HasEnded says whether a server's port refuses connections. A connection that is taken is kept for
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -20,11 +20,15 @@
 	"lovageyard.example/lovageyard/timer"
 )
 
-// codec reads the identity of an answer.
+// codec reads the identity of an answer, and refusals.
 type codec struct{}
 
 func (codec) Answer(r *http.Response) lovageyard.AnswerMeta {
-	return lovageyard.AnswerMeta{ID: r.Header.Get("Id"), Sealed: true}
+	misdirected := r.StatusCode == http.StatusMisdirectedRequest
+	return lovageyard.AnswerMeta{
+		ID: r.Header.Get("Id"), Sealed: true,
+		NotRun: misdirected || r.StatusCode == http.StatusServiceUnavailable, Misdirected: misdirected,
+	}
 }
 
 // backendServer answers each request with the next of its scripts, raw; an empty script
@@ -218,6 +222,24 @@
 	c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictMayHaveRun)
 }
 
+// A server takes a request and ends; the server that has its address by then refuses the second send, truly
+// as not run. What became of the first is not known, so that the caller must not be told that its request
+// has not run.
+func TestRefusedSecondSendLeavesTheFirstInDoubt(t *testing.T) {
+	c := qt.New(t)
+	for _, status := range []string{"421 Misdirected Request", "503 Service Unavailable"} {
+		b := newBackendServer(c, answer("1", "one"), "", "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+		l := newLink(c)
+		_, err := send(c, l, request(b, "1", true))
+		c.Assert(err, qt.IsNil)
+		_, err = send(c, l, request(b, "2", true))
+		c.Assert(err, qt.IsNotNil, qt.Commentf("%s", status))
+		c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictMayHaveRun)
+		c.Assert(failureOf(c, err).Broken, qt.IsTrue)
+		c.Assert(failureOf(c, err).Ended, qt.Equals, strings.HasPrefix(status, "421"))
+	}
+}
+
 func TestAnswersToOtherRequestsAreSkipped(t *testing.T) {
 	c := qt.New(t)
 	b := newBackendServer(c, answer("0", "stray")+answer("1", "one"))
