The soak sends requests that end the servers which run them

Cause it looks for: a deadly request that goes on after three ends, at instances that could know. Behind a proxy a port is closed a moment after the connections: a server that broke off is probed twice, 0.2 s apart.

--- a/integration/deadly_test.go
+++ b/integration/deadly_test.go
@@ -72,7 +72,7 @@
 	}, frailWork, observer{})
 	f.c.Assert(err, qt.IsNil)
 	f.c.Cleanup(server.Close)
-	server.SetDeadly(frailPrefix+"deadly", func() {
+	server.SetDeadly(frailPrefix+"deadly", func(string) {
 		f.mu.Lock()
 		f.ended++
 		f.mu.Unlock()
--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -11,8 +11,15 @@
 	"lovageyard.example/lovageyard/meter"
 )
 
-// maxShown bounds the fingerprints that a line names.
-const maxShown = 16
+// Probes and lines.
+const (
+	// probeTimes is how often a server that broke off is asked whether it has ended, and probeEvery the
+	// pause between: its connections may be closed a moment before its port is.
+	probeTimes = 2
+	probeEvery = 200 * time.Millisecond
+	// maxShown bounds the fingerprints that a line names.
+	maxShown = 16
+)
 
 // Prober finds out whether backend servers have ended.
 type Prober interface {
@@ -181,7 +188,7 @@
 	}
 	w.probing[life] = true
 	w.probes.Go(func() {
-		ended := w.settings.Prober.HasEnded(w.context, server)
+		ended := w.hasEnded(server)
 		w.mu.Lock()
 		delete(w.probing, life)
 		w.mu.Unlock()
@@ -191,6 +198,31 @@
 	})
 }
 
+// hasEnded asks a server a few times whether it has ended.
+func (w *Watch) hasEnded(server lovageyard.BackendServer) bool {
+	for n := range probeTimes {
+		if n > 0 && !w.pause(probeEvery) {
+			return false
+		}
+		if w.settings.Prober.HasEnded(w.context, server) {
+			return true
+		}
+	}
+	return false
+}
+
+// pause waits for a span; it returns false if the Watch is closed before.
+func (w *Watch) pause(d time.Duration) bool {
+	after := w.settings.Timer.After(d)
+	defer after.Close()
+	select {
+	case <-after.C():
+		return true
+	case <-w.context.Done():
+		return false
+	}
+}
+
 // showHeld writes a line for each request whose hold has begun or ended, and returns the first.
 func (w *Watch) showHeld() []uint64 {
 	w.mu.Lock()
--- a/soak/check.go
+++ b/soak/check.go
@@ -65,9 +65,15 @@
 	repeats []time.Time
 	// nameOf names the instance that has, or had, an address, and sender the one that a request
 	// was sent to, which is the only one that passes it on.
-	nameOf     map[string]string
-	sender     map[string]string
-	served     map[string]uint64
+	nameOf map[string]string
+	sender map[string]string
+	served map[string]uint64
+	// deadly is the path of each attempt at a request that ends servers; ends counts these by path,
+	// thirdAt is when the last one that is allowed ended, and late counts sends later than the bound.
+	deadly     map[string]string
+	ends       map[string]int
+	thirdAt    map[string]time.Time
+	late       map[string]int
 	violations []string
 	counts     map[string]int
 }
@@ -98,6 +104,10 @@
 		coldUntil:    make(map[string]time.Time),
 		coldArrivals: make(map[string][]time.Time),
 		arrived:      make(map[string]int),
+		deadly:       make(map[string]string),
+		ends:         make(map[string]int),
+		thirdAt:      make(map[string]time.Time),
+		late:         make(map[string]int),
 		counts:       make(map[string]int),
 	}
 }
@@ -237,6 +247,7 @@
 	c.checkCold(server, id, now)
 	c.checkRepeats(server, id, now)
 	sender := c.sender[id]
+	c.checkDeadly(server, id, now)
 	left, leaves := c.leftAt[server]
 	if leaves && now.Sub(left) > leaveBound && c.mustKnow("arrivals after leaving", sender, left, leaveBound, now) {
 		c.violate("server %s got %s from %s %s after it left", server, id, sender, now.Sub(left))
@@ -247,6 +258,37 @@
 	}
 }
 
+// Deadly notes the path of an attempt at a request that ends servers.
+func (c *checker) Deadly(id, path string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadly[id] = path
+}
+
+// DeadlyEnded notes that a server ended under a request.
+func (c *checker) DeadlyEnded(path string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ends[path]++
+	c.counts["servers ended by requests"]++
+	if c.ends[path] == deadlyEnds {
+		c.thirdAt[path] = time.Now()
+	}
+}
+
+// checkDeadly checks that a request that ended servers goes to no more; the caller holds the lock.
+func (c *checker) checkDeadly(server, id string, now time.Time) {
+	path := c.deadly[id]
+	third, stopped := c.thirdAt[path]
+	if !stopped || now.Sub(third) <= deadlyBound || !c.mustKnow("sends of deadly requests", c.sender[id], third, deadlyBound, now) {
+		return
+	}
+	c.late[path]++
+	if c.late[path] > deadlySends {
+		c.violate("server %s got %s, send %d of a request that had ended %d servers %s before", server, id, c.late[path], c.ends[path], now.Sub(third))
+	}
+}
+
 // Ran checks that a request that was refused never runs, and a charge not twice.
 func (c *checker) Ran(server, id string) {
 	c.mu.Lock()
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -52,6 +52,18 @@
 			c.drainedAt["d"] = time.Now().Add(-time.Minute)
 			c.Arrived("s", "x")
 		}},
+		{"a deadly request goes on", ".*that had ended 3 servers.*", func(c *checker) {
+			for range 3 {
+				c.DeadlyEnded("/d")
+			}
+			c.thirdAt["/d"] = time.Now().Add(-time.Minute)
+			for i := range 4 {
+				id := fmt.Sprint(i)
+				c.Send(id, "127.0.0.1:1", false)
+				c.Deadly(id, "/d")
+				c.Arrived("s", id)
+			}
+		}},
 		{"too much for a cold server", ".*request 7 in 1s", func(c *checker) {
 			c.Joined("s")
 			for i := range 7 {
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -108,6 +108,8 @@
 		return y.spoilEntry(y.pick(f.Target), f.For)
 	case restartServer:
 		return y.restartServer(y.pick(f.Target))
+	case deadlyRequest:
+		y.sendDeadly(f)
 	case burst:
 		// Callers look at the time of bursts themselves.
 		time.Sleep(f.For)
@@ -190,6 +192,7 @@
 	}
 	b.gone = true
 	y.mu.Unlock()
+	b.proxy.Stop()
 	b.Close()
 	time.Sleep(lapse)
 	y.store.RemoveServer(b.Name)
@@ -250,6 +253,7 @@
 	y.check.Joined(b.Name)
 	y.store.PutServer(server.BackendServer)
 	b.Server, b.proxy, b.gone = server, proxy, false
+	y.makeFrail(b)
 	return nil
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -29,6 +29,7 @@
 	Callers   int           `default:"24" help:"Callers, 1 to 2000."`
 	Out       string        `default:"../out/soak" help:"Directory for the logs of each run."`
 	Further   bool          `default:"true" negatable:"" help:"Restart servers under their names, write foreign entries, large configurations over narrow links to the store."`
+	Deadly    bool          `default:"true" negatable:"" help:"Send requests that end the servers which run them."`
 	Show      bool          `help:"Print the plan of each run."`
 }
 
@@ -124,6 +125,9 @@
 	if o.Further {
 		plan = withFurther(plan, seed, o.Span)
 	}
+	if o.Deadly {
+		plan = withDeadly(plan, seed, o.Span)
+	}
 	began := time.Now()
 	for _, f := range plan {
 		if o.Show {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -41,6 +41,8 @@
 	foreignEntry       kind = "foreign-entry"
 	largeConfiguration kind = "large-configuration"
 	narrowStore        kind = "narrow-store"
+
+	deadlyRequest kind = "deadly-request"
 )
 
 // faultKinds disturb; planned kinds are what operators do on any day.
@@ -55,8 +57,11 @@
 	furtherKinds = []kind{restartServer, foreignEntry, largeConfiguration, narrowStore}
 )
 
-// furtherStream tells the random numbers of the further plan from those of the first one.
-const furtherStream = 1
+// Streams of random numbers, which tell those of further plans from those of the first one.
+const (
+	furtherStream = 1
+	deadlyStream  = 2
+)
 
 // fault is one entry of a plan.
 type fault struct {
@@ -112,6 +117,17 @@
 	return plan
 }
 
+// withDeadly adds two deadly requests to a plan, each of them sent for a third of the span.
+func withDeadly(plan []fault, seed uint64, span time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, deadlyStream))
+	for n := range 2 {
+		at := time.Second + time.Duration(random.Int64N(int64(span/2)))
+		plan = append(plan, fault{At: at, Kind: deadlyRequest, Target: 2*random.IntN(1<<15) + n, For: span / 3})
+	}
+	slices.SortStableFunc(plan, func(a, b fault) int { return int(a.At - b.At) })
+	return plan
+}
+
 // isPlanned says whether a kind is planned work, around which no request may be cut.
 func (k kind) isPlanned() bool {
 	return slices.Contains(plannedKinds, k) || k == largeConfiguration
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,19 +32,24 @@
 
 // A short run over real processes, and those that once failed.
 func TestSeedsKeepThePromises(t *testing.T) {
-	testSeeds(t, false, append(seedsOf(qt.New(t), "seeds.txt"), shortSeed))
+	testSeeds(t, options{}, append(seedsOf(qt.New(t), "seeds.txt"), shortSeed))
 }
 
 // Servers that start again under their names, foreign entries, large configurations.
 func TestFurtherSeedKeepsThePromises(t *testing.T) {
-	testSeeds(t, true, seedsOf(qt.New(t), "seeds-further.txt"))
+	testSeeds(t, options{Further: true}, seedsOf(qt.New(t), "seeds-further.txt"))
 }
 
-func testSeeds(t *testing.T, further bool, seeds []uint64) {
+// Requests that end each server which runs them, beside all other faults.
+func TestDeadlySeedKeepsThePromises(t *testing.T) {
+	testSeeds(t, options{Deadly: true}, []uint64{shortSeed})
+}
+
+func testSeeds(t *testing.T, o options, seeds []uint64) {
 	c := qt.New(t)
 	program, err := build(c.TempDir())
 	c.Assert(err, qt.IsNil)
-	o := options{Span: 5 * time.Second, Instances: 4, Servers: 6, Callers: 8, Further: further, Out: c.TempDir()}
+	o.Span, o.Instances, o.Servers, o.Callers, o.Out = 5*time.Second, 4, 6, 8, c.TempDir()
 	for _, seed := range seeds {
 		r, err := playSeed(o, program, seed)
 		c.Assert(err, qt.IsNil)
--- a/soak/yard.go
+++ b/soak/yard.go
@@ -192,7 +192,9 @@
 		y.check.Joined(server.Name)
 	}
 	y.store.PutServer(server.BackendServer)
-	y.servers = append(y.servers, &backend{Server: server, proxy: proxy})
+	b := &backend{Server: server, proxy: proxy}
+	y.makeFrail(b)
+	y.servers = append(y.servers, b)
 	return nil
 }
 
