One way to send: package backend becomes part of link

Cause: the two ways through an instance had connections of their own; two pools, two judgements of whether a request may have run, two sets of bounds.

Change: link streams requests and answers (Stream) for the instances with classes, over the connections that Send uses, and asks servers for their load like any request; backend and its transport from net/http go. A request without a body is sent once more if a kept connection closes under it, as net/http's transport did; interim answers reach the trace; idle connections are closed as they become too old. link is split by job: send, stream, idle connections, our own headers.

Tests: those of backend run on link, unchanged in what they ask; the one of the sealed connection is now TestBodyAfterTheEndOfAnAttemptIsNotSent, since a closed connection takes no late byte. New ones: long answers, answers given up, interim answers, probes that keep their connection.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -23,12 +23,12 @@
 	"go.uber.org/goleak"
 
 	"lovageyard.example/lovageyard"
-	"lovageyard.example/lovageyard/backend"
 	"lovageyard.example/lovageyard/block"
 	"lovageyard.example/lovageyard/charge"
 	"lovageyard.example/lovageyard/class"
 	"lovageyard.example/lovageyard/grant"
 	"lovageyard.example/lovageyard/instance"
+	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/move"
 	"lovageyard.example/lovageyard/platform/memory"
 	"lovageyard.example/lovageyard/route"
@@ -114,7 +114,7 @@
 			Sites:  []route.Site{{Name: "near", Pool: r.pool, Allowance: grant.NewAllowance(0, now), Local: true}},
 		})
 	}
-	client := backend.NewClient()
+	client := link.New(link.OwnHeaders{}, timer.Clock{})
 	charges := charge.NewBook(memory.NewStore(), timer.Clock{}, "near-1/1")
 	handler := NewHandler(Parts{
 		Source:   r,
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -12,7 +12,6 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"lovageyard.example/lovageyard"
-	"lovageyard.example/lovageyard/backend"
 	"lovageyard.example/lovageyard/block"
 	"lovageyard.example/lovageyard/charge"
 	"lovageyard.example/lovageyard/class"
@@ -211,7 +210,7 @@
 	defer cancel()
 	started := x.handler.timer.Now()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: x.passHint})
-	response, err := x.handler.backend.Send(x.outgoing(ctx), x.slot.Server)
+	response, err := x.handler.backend.Stream(x.outgoing(ctx), x.slot.Server)
 	if err != nil {
 		x.release(started, lovageyard.Answer{Failed: true})
 		if x.isServersFault(ctx, started) {
@@ -221,7 +220,7 @@
 	}
 	defer response.Body.Close()
 	answer := lovageyard.Answer{}
-	answer.Report, answer.Reported = backend.ReportOf(response.Header)
+	answer.Report, answer.Reported = link.ReportOf(response.Header)
 	if answer.Report.Leaving {
 		x.handler.watcher.ServerLeaving(x.work.Class.Service, x.choice.Site, x.slot.Server.Name)
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -144,7 +144,7 @@
 	return err
 }
 
-func (p port) Send(*http.Request, lovageyard.BackendServer) (*http.Response, error) {
+func (p port) Stream(*http.Request, lovageyard.BackendServer) (*http.Response, error) {
 	return nil, errors.New("no traffic in these tests")
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -80,6 +80,11 @@
 	address string
 }
 
+// peerOf returns what connections to a server lead to.
+func peerOf(s lovageyard.BackendServer) peer {
+	return peer{server: s.Name, life: s.Life, address: s.Address}
+}
+
 // Answer is a whole answer of a backend server.
 type Answer struct {
 	Status int
@@ -109,7 +114,7 @@
 // Send makes one attempt. The error is a *lovageyard.RequestError. When ctx ends, the
 // connection is closed, by which most servers give up the request.
 func (l *Link) Send(ctx context.Context, r Request) (*Answer, error) {
-	c := l.take(r)
+	c := l.take(r.peer(), r.Idempotent)
 	if c == nil {
 		return l.sendFresh(ctx, r)
 	}
@@ -146,15 +151,31 @@
 // HasEnded says whether a server's port refuses connections. A connection that is taken is kept for
 // the next request.
 func (l *Link) HasEnded(ctx context.Context, server lovageyard.BackendServer) bool {
-	c, err := dial(ctx, server.Address, dialTimeout)
+	c, err := l.open(ctx, server.Address)
 	if err != nil {
 		return isRefused(err)
 	}
+	l.give(c, peerOf(server), http.Header{})
+	return false
+}
+
+// open opens a connection and counts it.
+func (l *Link) open(ctx context.Context, address string) (*conn, error) {
+	c, err := dial(ctx, address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.opened++
-	l.mu.Unlock()
-	l.give(c, peer{server: server.Name, life: server.Life, address: server.Address}, http.Header{})
-	return false
+	return c, nil
+}
+
+// notReached returns the failure of a request for which no connection could be opened.
+func notReached(err error) *lovageyard.RequestError {
+	failure := lovageyard.NotRun("the backend server could not be reached", err)
+	failure.Ended = isRefused(err)
+	return failure
 }
 
 // isRefused says whether a connection was refused, as nothing listens at the port.
@@ -169,15 +190,10 @@
 
 func (l *Link) sendFresh(ctx context.Context, r Request) (*Answer, error) {
 	began := l.timer.Now()
-	c, err := dial(ctx, r.ServerAddress, dialTimeout)
+	c, err := l.open(ctx, r.ServerAddress)
 	if err != nil {
-		failure := lovageyard.NotRun("the backend server could not be reached", err)
-		failure.Ended = isRefused(err)
-		return nil, failure
+		return nil, notReached(err)
 	}
-	l.mu.Lock()
-	l.opened++
-	l.mu.Unlock()
 	took := l.timer.Now().Sub(began)
 	answer, err := l.exchange(ctx, c, r)
 	if answer != nil {
@@ -204,17 +220,23 @@
 		}
 		return answer, nil
 	}
+	return nil, c.giveUp(ctx, before, err)
+}
+
+// giveUp closes a connection on which a request failed, and returns the failure; before is the number of
+// writes before the request.
+func (c *conn) giveUp(ctx context.Context, before int64, err error) *lovageyard.RequestError {
 	// Once it is closed, a write that has not begun sends nothing.
 	c.Close()
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
 	if c.writes.Load() == before {
-		return nil, lovageyard.NotRun("no byte of the request was sent", err)
+		return lovageyard.NotRun("no byte of the request was sent", err)
 	}
 	failure := lovageyard.MayHaveRun("the backend server did not answer", err)
 	failure.Broken = isBroken(err)
-	return nil, failure
+	return failure
 }
 
 // converse writes the request and reads answers until the one that belongs to it; it
@@ -257,11 +279,8 @@
 
 // readAnswer reads answers until the one that belongs to the request.
 func (l *Link) readAnswer(c *conn, request *http.Request, id string) (*Answer, bool, error) {
-	if _, err := c.reader.Peek(1); err != nil {
-		if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
-			return nil, false, errors.Wrap(errClosed, err.Error())
-		}
-		return nil, false, errors.Wrap(err, "answer")
+	if err := c.awaitAnswer(); err != nil {
+		return nil, false, err
 	}
 	for range maxStray {
 		response, err := http.ReadResponse(c.reader, request)
@@ -284,6 +303,18 @@
 	return nil, false, errors.New("answer: only answers to other requests came")
 }
 
+// awaitAnswer waits for the first byte of an answer.
+func (c *conn) awaitAnswer() error {
+	_, err := c.reader.Peek(1)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, io.EOF), errors.Is(err, syscall.ECONNRESET):
+		return errors.Wrap(errClosed, err.Error())
+	}
+	return errors.Wrap(err, "answer")
+}
+
 // whole reads an answer to its end; one that breaks off is an error.
 func (l *Link) whole(response *http.Response) (*Answer, error) {
 	defer response.Body.Close()
@@ -319,101 +350,9 @@
 	return request
 }
 
-// take returns an idle connection to the request's server, or nil.
-func (l *Link) take(r Request) *conn {
-	limit := longestIdle
-	if !r.Idempotent {
-		limit = unsafeIdle
-	}
-	now := l.timer.Now()
-	for {
-		c := l.pop(r.peer())
-		if c == nil {
-			return nil
-		}
-		if c.reusable(now, limit) && c.isQuiet() {
-			return c
-		}
-		c.Close()
-	}
-}
-
-func (l *Link) pop(p peer) *conn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	list := l.idle[p]
-	if len(list) == 0 {
-		return nil
-	}
-	// The one used last has been idle for the shortest time.
-	c := list[len(list)-1]
-	l.idle[p] = list[:len(list)-1]
-	return c
-}
-
-// give keeps a connection whose answer has ended for reuse.
-func (l *Link) give(c *conn, p peer, header http.Header) {
-	c.keep(header, l.timer.Now())
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.closed {
-		c.Close()
-		return
-	}
-	l.idle[p] = append(l.idle[p], c)
-}
-
-// Forget closes the idle connections to a server.
-func (l *Link) Forget(server string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for p, list := range l.idle {
-		if p.server != server {
-			continue
-		}
-		for _, c := range list {
-			c.Close()
-		}
-		delete(l.idle, p)
-	}
-}
-
-// Expire closes connections that have been idle for too long to be reused.
-func (l *Link) Expire(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for p, list := range l.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if c.reusable(now, longestIdle) {
-				kept = append(kept, c)
-				continue
-			}
-			c.Close()
-		}
-		l.idle[p] = kept
-		if len(kept) == 0 {
-			delete(l.idle, p)
-		}
-	}
-}
-
 // Opened returns the number of connections opened so far.
 func (l *Link) Opened() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.opened
 }
-
-// Close closes the idle connections; those in use close when their answer ends.
-func (l *Link) Close() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.closed = true
-	for _, list := range l.idle {
-		for _, c := range list {
-			c.Close()
-		}
-	}
-	clear(l.idle)
-}
--- /dev/null
+++ b/link/stream_test.go
@@ -0,0 +1,361 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/link"
+	"lovageyard.example/lovageyard/timer"
+)
+
+// script is what a raw server does with one connection; it returns when it is done.
+type script func(conn net.Conn)
+
+// rawServer runs the n-th script on the n-th connection, the last one on all further.
+func rawServer(t *testing.T, scripts ...script) (server lovageyard.BackendServer, connections *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	connections = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			n := int(connections.Add(1))
+			go func() {
+				defer conn.Close()
+				scripts[min(n, len(scripts))-1](conn)
+			}()
+		}
+	}()
+	return lovageyard.BackendServer{Name: "raw", Address: listener.Addr().String()}, connections
+}
+
+func readRequest(conn net.Conn) {
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err == nil && request.Body != nil {
+		buffer := make([]byte, 1024)
+		for err == nil {
+			_, err = request.Body.Read(buffer)
+		}
+	}
+}
+
+// readRequestHead reads a request without a body.
+func readRequestHead(conn net.Conn) {
+	_, _ = http.ReadRequest(bufio.NewReader(conn))
+}
+
+func newStream() *link.Link {
+	return link.New(link.OwnHeaders{}, timer.Clock{})
+}
+
+func write(conn net.Conn, text string) {
+	_, _ = conn.Write([]byte(text))
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func closeAfterRequest(conn net.Conn) { readRequest(conn) }
+
+func closeInHeader(conn net.Conn) {
+	readRequest(conn)
+	write(conn, "HTTP/1.1 200 OK\r\nContent-")
+}
+
+func silent(conn net.Conn) {
+	readRequest(conn)
+	buffer := make([]byte, 1)
+	_, _ = conn.Read(buffer)
+}
+
+func resetAfterRequest(conn net.Conn) {
+	readRequest(conn)
+	_ = conn.(*net.TCPConn).SetLinger(0)
+}
+
+func TestSendVerdicts(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		script  script
+		verdict lovageyard.Verdict
+	}{
+		{"closed after the request", closeAfterRequest, lovageyard.VerdictMayHaveRun},
+		{"closed in the answer's header", closeInHeader, lovageyard.VerdictMayHaveRun},
+		{"reset after the request", resetAfterRequest, lovageyard.VerdictMayHaveRun},
+		{"silent", silent, lovageyard.VerdictMayHaveRun},
+	} {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(test.name+" "+method, func(t *testing.T) {
+				c := qt.New(t)
+				server, connections := rawServer(t, test.script)
+				client := newStream()
+				defer client.Close()
+				ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+				defer cancel()
+				_, err := client.Stream(chargeRequest(ctx, method), server)
+				c.Assert(lovageyard.VerdictOf(err), qt.Equals, test.verdict, qt.Commentf("%v", err))
+				c.Assert(connections.Load(), qt.Equals, int64(1))
+			})
+		}
+	}
+}
+
+func chargeRequest(ctx context.Context, method string) *http.Request {
+	request, err := http.NewRequestWithContext(ctx, method, "http://unused/charges/1", onlyReader{strings.NewReader("{}")})
+	if err != nil {
+		panic(err)
+	}
+	request.Header.Set("Idempotency-Key", "key-1")
+	return request
+}
+
+// onlyReader keeps the request from knowing how to get its body again.
+type onlyReader struct {
+	*strings.Reader
+}
+
+func TestSendIsNotRunWhenNothingListens(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := listener.Addr().String()
+	listener.Close()
+	client := newStream()
+	defer client.Close()
+	_, err = client.Stream(chargeRequest(context.Background(), http.MethodPost), lovageyard.BackendServer{Address: address})
+	c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictNotRun)
+}
+
+func TestSendIsNotRunWhenCancelledBeforeTheFirstByte(t *testing.T) {
+	c := qt.New(t)
+	server, _ := rawServer(t, closeAfterRequest)
+	client := newStream()
+	defer client.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := client.Stream(chargeRequest(ctx, http.MethodPost), server)
+	c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictNotRun)
+}
+
+// TestChargeIsNotSentAgain closes a kept connection under a second
+// request: nothing may replay a request that may have run.
+func TestChargeIsNotSentAgain(t *testing.T) {
+	c := qt.New(t)
+	server, connections := rawServer(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		write(conn, whole)
+		// The second request is read, and then the connection is closed without an answer.
+		_, _ = http.ReadRequest(reader)
+	})
+	client := newStream()
+	defer client.Close()
+	first, err := client.Stream(mustRequest(http.MethodGet), server)
+	c.Assert(err, qt.IsNil)
+	// The connection is kept as soon as the answer has ended.
+	_, err = io.ReadAll(first.Body)
+	c.Assert(err, qt.IsNil)
+	first.Body.Close()
+	_, err = client.Stream(chargeRequest(context.Background(), http.MethodPost), server)
+	c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictMayHaveRun)
+	c.Assert(connections.Load(), qt.Equals, int64(1))
+}
+
+func mustRequest(method string) *http.Request {
+	request, err := http.NewRequest(method, "http://unused/", nil)
+	if err != nil {
+		panic(err)
+	}
+	return request
+}
+
+// slowBody is a body whose first byte comes once it is let go.
+type slowBody struct {
+	letGo chan struct{}
+}
+
+func (b slowBody) Read(p []byte) (int, error) {
+	<-b.letGo
+	return copy(p, "late"), nil
+}
+
+// A body that its caller sends late is not sent once the attempt has been given up.
+func TestBodyAfterTheEndOfAnAttemptIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	got := make(chan string, 1)
+	server, _ := rawServer(t, func(conn net.Conn) {
+		text, _ := io.ReadAll(conn)
+		got <- string(text)
+	})
+	client := newStream()
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	body := slowBody{make(chan struct{})}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://unused/", body)
+	c.Assert(err, qt.IsNil)
+	request.ContentLength = 4
+	_, err = client.Stream(request, server)
+	c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictMayHaveRun)
+	close(body.letGo)
+	text := <-got
+	c.Assert(text, qt.Contains, "POST / HTTP/1.1")
+	c.Assert(text, qt.Not(qt.Contains), "late")
+}
+
+// An answer longer than an instance holds passes as it comes, and its connection carries the next one.
+func TestLongAnswerIsStreamed(t *testing.T) {
+	c := qt.New(t)
+	const size = 40 << 20
+	server, connections := rawServer(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			write(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size))
+			piece := make([]byte, 1<<20)
+			for range size / len(piece) {
+				_, _ = conn.Write(piece)
+			}
+		}
+	})
+	client := newStream()
+	defer client.Close()
+	for range 2 {
+		response, err := client.Stream(mustRequest(http.MethodGet), server)
+		c.Assert(err, qt.IsNil)
+		n, err := io.Copy(io.Discard, response.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(n, qt.Equals, int64(size))
+		c.Assert(response.Body.Close(), qt.IsNil)
+	}
+	c.Assert(connections.Load(), qt.Equals, int64(1))
+}
+
+// An answer that is given up midway, or that breaks off, ends its connection and does not look whole.
+func TestAnswerGivenUpEndsItsConnection(t *testing.T) {
+	c := qt.New(t)
+	server, connections := rawServer(t, func(conn net.Conn) {
+		readRequestHead(conn)
+		write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+	})
+	client := newStream()
+	defer client.Close()
+	response, err := client.Stream(mustRequest(http.MethodGet), server)
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadAll(response.Body)
+	c.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
+	response.Body.Close()
+	response, err = client.Stream(mustRequest(http.MethodGet), server)
+	c.Assert(err, qt.IsNil)
+	response.Body.Close()
+	_, err = response.Body.Read(make([]byte, 1))
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(connections.Load(), qt.Equals, int64(2))
+}
+
+// A look-up without a body that meets a kept connection as it closes is sent once more.
+func TestLookUpIsStreamedAgainOnAFreshConnection(t *testing.T) {
+	c := qt.New(t)
+	server, connections := rawServer(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		_, _ = http.ReadRequest(reader)
+		write(conn, whole)
+		_, _ = http.ReadRequest(reader)
+	})
+	client := newStream()
+	defer client.Close()
+	for range 2 {
+		request := mustRequest(http.MethodGet)
+		request.Body = http.NoBody
+		response, err := client.Stream(request, server)
+		c.Assert(err, qt.IsNil)
+		_, err = io.ReadAll(response.Body)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(connections.Load(), qt.Equals, int64(2))
+}
+
+func TestInterimAnswersArePassedToTheTrace(t *testing.T) {
+	c := qt.New(t)
+	server, _ := rawServer(t, func(conn net.Conn) {
+		readRequestHead(conn)
+		write(conn, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"+whole)
+	})
+	client := newStream()
+	defer client.Close()
+	hints := 0
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+		hints += code
+		c.Check(h.Get("Link"), qt.Equals, "a")
+		return nil
+	}}
+	request := mustRequest(http.MethodGet)
+	response, err := client.Stream(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)), server)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(response.Body.Close(), qt.IsNil)
+	c.Assert(hints, qt.Equals, 103)
+}
+
+func TestProbeReadsTheLoad(t *testing.T) {
+	c := qt.New(t)
+	server, connections := rawServer(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			c.Check(request.URL.Path, qt.Equals, link.HealthPath)
+			write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"slots\":8}")
+		}
+	})
+	client := newStream()
+	defer client.Close()
+	for range 2 {
+		report, err := client.Probe(context.Background(), server)
+		c.Assert(err, qt.IsNil)
+		c.Assert(report.Slots, qt.Equals, 8)
+	}
+	c.Assert(connections.Load(), qt.Equals, int64(1))
+}
+
+func TestReportOf(t *testing.T) {
+	for _, test := range []struct {
+		text string
+		ok   bool
+	}{
+		{`{"slots":8,"in-flight":3}`, true},
+		{``, false},
+		{`slots=8`, false},
+	} {
+		c := qt.New(t)
+		r, ok := link.ReportOf(http.Header{lovageyard.LoadHeader: {test.text}})
+		c.Assert(ok, qt.Equals, test.ok)
+		if ok {
+			c.Assert(r.InFlight, qt.Equals, 3)
+		}
+	}
+}
--- a/lovageyardd/daemon.go
+++ b/lovageyardd/daemon.go
@@ -16,12 +16,12 @@
 	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
-	"lovageyard.example/lovageyard/backend"
 	"lovageyard.example/lovageyard/caller"
 	"lovageyard.example/lovageyard/charge"
 	"lovageyard.example/lovageyard/class"
 	"lovageyard.example/lovageyard/control"
 	"lovageyard.example/lovageyard/decision"
+	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/operator"
 	"lovageyard.example/lovageyard/peer"
 	"lovageyard.example/lovageyard/peer/wire"
@@ -48,7 +48,7 @@
 	logger    *logrus.Logger
 	timer     lovageyard.Timer
 	control   *control.Control
-	backend   *backend.Client
+	link      *link.Link
 	platform  *platform.Store
 	peers     *peer.Client
 	charges   *charge.Book
@@ -133,7 +133,7 @@
 		options:  o,
 		logger:   logger,
 		timer:    clock,
-		backend:  backend.NewClient(),
+		link:     link.New(link.OwnHeaders{}, clock),
 		platform: platform.NewStore(o.PlatformAddress, logger),
 		peers:    peer.NewClient(),
 	}
@@ -144,7 +144,7 @@
 		Table:     d.platform,
 		Objects:   d.platform,
 		Instances: d.platform,
-		Backend:   d.backend,
+		Backend:   d.link,
 		Peers:     d.peers,
 		Timer:     clock,
 		Recorder:  recorder,
@@ -163,7 +163,7 @@
 		Source:   d.control,
 		Watcher:  d.control,
 		Charges:  d.charges,
-		Backend:  d.backend,
+		Backend:  d.link,
 		Timer:    clock,
 		Recorder: recorder,
 		Metrics:  registry,
@@ -175,6 +175,20 @@
 	return d
 }
 
+// serveUntil closes idle connections that have become too old, until the daemon is to leave.
+func (d *daemon) serveUntil(leave <-chan struct{}) {
+	watch := d.timer.Subscribe(expireEvery)
+	defer watch.Close()
+	for {
+		select {
+		case now := <-watch.C():
+			d.link.Expire(now)
+		case <-leave:
+			return
+		}
+	}
+}
+
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
@@ -212,7 +226,7 @@
 	_ = d.peering.Shutdown(bound)
 	d.charges.Close()
 	d.control.Close()
-	d.backend.Close()
+	d.link.Close()
 	d.platform.Close()
 	d.peers.Close()
 	d.logger.Info("stopped")
--- a/lovageyardd/main.go
+++ b/lovageyardd/main.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	<-leave.Done()
+	d.serveUntil(leave.Done())
 	hurry, stopHurry := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stopHurry()
 	return d.stop(hurry)
--- a/ports.go
+++ b/ports.go
@@ -126,8 +126,8 @@
 
 // Backend sends requests to backend servers.
 type Backend interface {
-	// Send makes one attempt; a failure is a *RequestError.
-	Send(r *http.Request, server BackendServer) (*http.Response, error)
+	// Stream makes one attempt, and returns the answer as it comes; a failure is a *RequestError.
+	Stream(r *http.Request, server BackendServer) (*http.Response, error)
 	// Probe asks a backend server for its load and health.
 	Probe(ctx context.Context, server BackendServer) (LoadReport, error)
 }
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -15,8 +15,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lovageyard.example/lovageyard"
-	"lovageyard.example/lovageyard/backend"
 	"lovageyard.example/lovageyard/charge"
+	"lovageyard.example/lovageyard/link"
 )
 
 // Behaviour of a stand-in server.
@@ -75,7 +75,7 @@
 		mux:           http.NewServeMux(),
 		counts:        serverCounts{Keys: make(map[string]int)},
 	}
-	s.mux.HandleFunc("GET "+backend.HealthPath, s.load)
+	s.mux.HandleFunc("GET "+link.HealthPath, s.load)
 	s.mux.HandleFunc("PUT /standin/faults", s.setFaults)
 	s.mux.HandleFunc("GET /standin/counts", s.showCounts)
 	s.mux.HandleFunc("/", s.work)
