A peer is sent the forms of rows that it says it reads

What callers would see: in a rolling replacement an instance of an older version takes a compressed row for one without a value; its cursor goes on, and the change is lost on it until it reads the platform itself.

Cause: nothing told which forms a peer reads, and a form that is not known looked like an empty value.

Change: a call between instances says the newest form that the caller reads; the replier keeps to it (none said: plain rows), marks what it sends with its form, and a receiver takes in nothing of a form that it does not know.

Why it holds: the choice is the reader's, on each call, so that it holds in any order of replacement and on the way back. An instance of the version just before this one reads compressed rows without saying so: it gets plain ones while both run side by side.

--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -7,7 +7,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"lovageyard.example/lovageyard/peer"
 	"lovageyard.example/lovageyard/peer/wire"
 	"lovageyard.example/lovageyard/quarantine"
 )
@@ -53,7 +52,7 @@
 			c.untold = true
 			continue
 		}
-		request := &wire.ShareRequest{From: peer.FromMember(c.self)}
+		request := c.newRequest()
 		c.addNews(request)
 		c.inbox.Call(name, func(ctx context.Context) message {
 			reply, err := c.settings.Peers.Share(ctx, p.address, request)
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -110,7 +110,8 @@
 // followAt begins a call to a relay. The first one does not wait, as it is to show soon
 // whether the relay reads the platform.
 func (c *Control) followAt(address string) {
-	request := &wire.ShareRequest{From: peer.FromMember(c.self), Cursors: c.cursors()}
+	request := c.newRequest()
+	request.Cursors = c.cursors()
 	if c.relays[address].sound {
 		request.WaitMs = followFor.Milliseconds()
 	}
@@ -168,7 +169,7 @@
 func (c *Control) answerWaiters(now time.Time) {
 	kept := c.waiters[:0]
 	for _, w := range c.waiters {
-		changes := c.changesFor(w.request.GetCursors())
+		changes := c.changesFor(w.request)
 		if len(changes) == 0 && now.Before(w.until) && !c.isStale() {
 			kept = append(kept, w)
 			continue
@@ -205,9 +206,9 @@
 }
 
 // changesFor returns the rows that a peer lacks.
-func (c *Control) changesFor(cursors []*wire.Cursor) []*wire.TableChanges {
+func (c *Control) changesFor(r *wire.ShareRequest) []*wire.TableChanges {
 	var out []*wire.TableChanges
-	for _, cursor := range cursors {
+	for _, cursor := range r.GetCursors() {
 		if c.state.Cursor(cursor.GetTable()) <= cursor.GetVersion() {
 			continue
 		}
@@ -215,7 +216,7 @@
 		if len(changes.Rows) == 0 && changes.After > 0 {
 			continue
 		}
-		packed, err := c.packer.Pack(cursor.GetTable(), changes, c.baseAt(cursor))
+		packed, err := c.packer.Pack(cursor.GetTable(), changes, c.baseAt(cursor), r.GetReads())
 		if err != nil {
 			c.settings.Logger.WithError(err).Error("rows can't be sent to a peer")
 			continue
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -100,9 +100,15 @@
 	c.exchange("share "+p.address, p.address, c.request())
 }
 
+// newRequest returns a call to a peer that says who asks and what it reads.
+func (c *Control) newRequest() *wire.ShareRequest {
+	return &wire.ShareRequest{From: peer.FromMember(c.self), Reads: peer.NewestForm}
+}
+
 // request returns what an exchange with a peer begins with.
 func (c *Control) request() *wire.ShareRequest {
-	request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.pulses()}
+	request := c.newRequest()
+	request.Pulses = c.pulses()
 	if c.hasReadAll() {
 		// Before, whole tables are asked for at few peers at a time; see askForRows.
 		request.Cursors = c.cursors()
@@ -119,7 +125,8 @@
 	c.askedAt = now
 	partners := c.partners()
 	for n, p := range partners[:min(maxAsked, len(partners))] {
-		request := &wire.ShareRequest{From: peer.FromMember(c.self), Pulses: c.pulses(), Cursors: c.cursors()}
+		request := c.newRequest()
+		request.Pulses, request.Cursors = c.pulses(), c.cursors()
 		c.exchange("ask for rows "+strconv.Itoa(n), p.address, request)
 	}
 }
@@ -341,7 +348,7 @@
 	now := c.settings.Timer.Now()
 	c.hear(m.request.GetFrom(), m.request.GetPulses(), now)
 	c.hearCrashes(m.request.GetCrashes(), m.request.GetClearances())
-	changes := c.changesFor(m.request.GetCursors())
+	changes := c.changesFor(m.request)
 	if m.request.GetWaitMs() > 0 && len(changes) == 0 && !c.isStale() {
 		until := now.Add(time.Duration(m.request.GetWaitMs()) * time.Millisecond)
 		c.waiters = append(c.waiters, waiter{asked: m, until: until})
--- a/peer/changes.go
+++ b/peer/changes.go
@@ -26,6 +26,18 @@
 	dictionary = 1
 )
 
+// Forms of rows on the wire. A peer of the version before may read fewer of them, and a form that it
+// doesn't read would look to it like a row without a value: the sender keeps to what the peer
+// says that it reads, and a receiver takes in no form that it doesn't know.
+const (
+	// FormPlain has values as they are.
+	FormPlain int32 = iota
+	// FormZipped may have compressed values, differences from older ones and whole tables compressed.
+	FormZipped
+	// NewestForm is the newest form that this version reads.
+	NewestForm = FormZipped
+)
+
 // BaseOf returns the older row that a receiver holds in place of a row, if it is known.
 type BaseOf func(r lovageyard.Row) (lovageyard.Row, bool)
 
@@ -67,7 +79,7 @@
 }
 
 func (p *Packer) fromRow(r lovageyard.Row, baseOf BaseOf) *wire.Row {
-	w := &wire.Row{Table: r.Table, Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted}
+	w := plainRow(r)
 	if len(r.Value) < zipFrom {
 		return w
 	}
@@ -102,10 +114,14 @@
 	return zipped
 }
 
-// Pack returns the changes of one table for a peer. Many small rows are compressed together, as
-// they are much alike: the table of 2,000 servers with regular names takes 13 KB instead of 354 KB.
-func (p *Packer) Pack(table string, c lovageyard.Changes, baseOf BaseOf) (*wire.TableChanges, error) {
-	t := &wire.TableChanges{Table: table, Changes: p.FromChanges(c, baseOf)}
+// Pack returns the changes of one table for a peer that reads a form. Many small rows are compressed
+// together, as they are much alike: the table of 2,000 servers with regular names takes 13 KB
+// instead of 354 KB.
+func (p *Packer) Pack(table string, c lovageyard.Changes, baseOf BaseOf, reads int32) (*wire.TableChanges, error) {
+	if reads < FormZipped {
+		return &wire.TableChanges{Table: table, Changes: plainChanges(c), Form: FormPlain}, nil
+	}
+	t := &wire.TableChanges{Table: table, Changes: p.FromChanges(c, baseOf), Form: FormZipped}
 	if len(c.Rows) < packFrom {
 		return t, nil
 	}
@@ -114,13 +130,29 @@
 		return nil, errors.Wrap(err, "changes of "+table)
 	}
 	if packed := Zip(whole); len(packed) < len(whole) {
-		return &wire.TableChanges{Table: table, Packed: packed}, nil
+		return &wire.TableChanges{Table: table, Packed: packed, Form: FormZipped}, nil
 	}
 	return t, nil
 }
 
+// plainChanges returns the wire form of changes with all values as they are.
+func plainChanges(c lovageyard.Changes) *wire.Changes {
+	w := &wire.Changes{After: c.After, To: c.To}
+	for _, r := range c.Rows {
+		w.Rows = append(w.Rows, plainRow(r))
+	}
+	return w
+}
+
+func plainRow(r lovageyard.Row) *wire.Row {
+	return &wire.Row{Table: r.Table, Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted}
+}
+
 // Unpack returns the changes that a peer has sent, or an error if they can't be read.
 func Unpack(t *wire.TableChanges) (*wire.Changes, error) {
+	if t.GetForm() > NewestForm {
+		return nil, errors.Errorf("changes of %s: form %d is not read here", t.GetTable(), t.GetForm())
+	}
 	if len(t.GetPacked()) == 0 {
 		return t.GetChanges(), nil
 	}
