Each end of a server counts once against a request

Cause: while the ends under the requests of one crash were counted, a judgement of all in between counted those again that were still to come; a request at one crash then looked like one at two, and its crash was remembered for ten minutes instead of two. Found by reading.

Change: all requests of a crash are counted first, and judged once after that.

Why it holds: a judgement works out all counts from the crashes themselves, and nothing is counted after it. No caller could see it: at three ends all is worked out anew. quarantine's tests pass as before; none shows the count.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -87,9 +87,9 @@
 	return &Table{crashes: make(map[Server]*crash), cleared: make(map[uint64]clearance), judged: newJudgements()}
 }
 
-// Lose notes that a server broke off a request. It says whether it is open whether the server has ended,
-// and whether others should know, as it has. A request that was answered well a moment ago, as one that many callers send, does
-// not end servers: it was there by chance.
+// Lose notes that a server broke off a request. It says whether it is open if the server has ended, and
+// whether others should know, as it has. A request that was answered well a moment ago, as one
+// that many callers send, does not end servers: it was there by chance.
 func (t *Table) Lose(server Server, request uint64, sentAt, now time.Time) (open, news bool) {
 	if t.recent.has(request, now) {
 		return false, false
@@ -113,25 +113,23 @@
 	}
 	c.sentAt[request] = sentAt
 	c.heardAt = now
-	if c.ended {
-		t.count(c, request, now)
+	if c.ended && t.count(c, request) {
+		t.judge(now)
 	}
 	return true
 }
 
-// count counts an end of a server against a request that was there.
-func (t *Table) count(c *crash, request uint64, now time.Time) {
+// count counts an end of a server against a request that was there, and says whether all has to be
+// judged anew for it.
+func (t *Table) count(c *crash, request uint64) bool {
 	if t.isCleared(c, request) {
-		return
+		return false
 	}
 	t.judged.counts[request]++
-	if t.judged.counts[request] >= enough {
-		t.judge(now)
-		return
-	}
 	if !t.isExplained(c) {
 		t.judged.suspects[request] = true
 	}
+	return t.judged.counts[request] >= enough
 }
 
 // isExplained says whether a request is held that was at a crash.
@@ -166,10 +164,13 @@
 func (t *Table) end(c *crash, now time.Time) {
 	c.ended = true
 	c.heardAt = now
+	judge := false
 	for request := range c.sentAt {
-		t.count(c, request, now)
+		judge = t.count(c, request) || judge
+	}
+	if t.bound() || judge {
+		t.judge(now)
 	}
-	t.bound(now)
 }
 
 // Clear notes that a server answered a request well, and says whether other instances should know. They
@@ -396,11 +397,11 @@
 	return digest
 }
 
-// bound forgets crashes beyond the bound, first those whose requests no other one had. Which ones
-// doesn't depend on when this instance heard of them, so that instances agree.
-func (t *Table) bound(now time.Time) {
+// bound forgets crashes beyond the bound, first those whose requests no other one had, and says whether it
+// did. Which ones doesn't depend on when this instance heard of them, so that instances agree.
+func (t *Table) bound() bool {
 	if len(t.crashes) <= maxCrashes {
-		return
+		return false
 	}
 	servers := slices.Collect(maps.Keys(t.crashes))
 	slices.SortFunc(servers, func(a, b Server) int {
@@ -415,5 +416,5 @@
 	for _, server := range servers[maxCrashes:] {
 		delete(t.crashes, server)
 	}
-	t.judge(now)
+	return true
 }
--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -84,8 +84,8 @@
 	return w.table.Judge(request, w.settings.Timer.Now())
 }
 
-// Lost notes that a server broke off a request that was sent to it at a time. Only if it has ended is that anything against the
-// request: answers get lost as well, and connections are reset.
+// Lost notes that a server broke off a request that was sent to it at a time. Only if the server has ended
+// is that anything against the request: answers get lost as well, and connections are reset.
 func (w *Watch) Lost(server lovageyard.BackendServer, request uint64, sentAt time.Time) {
 	open, news := w.table.Lose(lifeOf(server), request, sentAt, w.settings.Timer.Now())
 	if open {
