--- a/soak/inject.go
+++ b/soak/inject.go
@@ -108,6 +108,8 @@
 		return y.spoilEntry(y.pick(f.Target), f.For)
 	case restartServer:
 		return y.restartServer(y.pick(f.Target))
+	case replaceVersions:
+		return y.replaceVersions()
 	case deadlyRequest:
 		y.sendDeadly(f)
 	case burst:
--- a/soak/main.go
+++ b/soak/main.go
@@ -30,6 +30,7 @@
 	Out       string        `default:"../out/soak" help:"Directory for the logs of each run."`
 	Further   bool          `default:"true" negatable:"" help:"Restart servers under their names, write foreign entries, large configurations over narrow links to the store."`
 	Deadly    bool          `default:"true" negatable:"" help:"Send requests that end the servers which run them."`
+	Before    string        `help:"Commit of an older version, from which all instances start, are replaced in turn by this one, and go back again; there are no faults then."`
 	Show      bool          `help:"Print the plan of each run."`
 }
 
@@ -85,13 +86,13 @@
 		return 0, err
 	}
 	defer os.RemoveAll(dir)
-	program, err := build(dir)
+	p, err := buildPrograms(dir, o.Before)
 	if err != nil {
 		return 0, err
 	}
 	failed := 0
 	for n := range o.Seeds {
-		r, err := playSeed(o, program, o.Seed+uint64(n))
+		r, err := playSeed(o, p, o.Seed+uint64(n))
 		if err != nil {
 			return failed, err
 		}
@@ -103,8 +104,23 @@
 	return failed, nil
 }
 
+// programs are the paths of the versions of the daemon; both are the same if only this one runs.
+type programs struct {
+	now, before string
+}
+
+// buildPrograms builds the daemon into a directory, and that of an older commit if one is named.
+func buildPrograms(dir, commit string) (programs, error) {
+	now, err := build(dir)
+	if err != nil || commit == "" {
+		return programs{now: now, before: now}, err
+	}
+	before, err := buildBefore(dir, commit)
+	return programs{now: now, before: before}, err
+}
+
 // playSeed plays one run.
-func playSeed(o options, program string, seed uint64) (report, error) {
+func playSeed(o options, p programs, seed uint64) (report, error) {
 	out := filepath.Join(o.Out, fmt.Sprint("seed-", seed))
 	if err := os.RemoveAll(out); err != nil {
 		return report{}, err
@@ -113,7 +129,7 @@
 		return report{}, err
 	}
 	check := newChecker()
-	y, err := newYard(program, out, o.Instances, o.Servers, check)
+	y, err := newYard(p, out, o.Instances, o.Servers, check)
 	if err != nil {
 		if y != nil {
 			y.Close()
@@ -128,6 +144,9 @@
 	if o.Deadly {
 		plan = withDeadly(plan, seed, o.Span)
 	}
+	if o.Before != "" {
+		plan = versionPlan(seed, o.Span)
+	}
 	began := time.Now()
 	for _, f := range plan {
 		if o.Show {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -42,7 +42,8 @@
 	largeConfiguration kind = "large-configuration"
 	narrowStore        kind = "narrow-store"
 
-	deadlyRequest kind = "deadly-request"
+	deadlyRequest   kind = "deadly-request"
+	replaceVersions kind = "replace-versions"
 )
 
 // faultKinds disturb; planned kinds are what operators do on any day.
@@ -61,6 +62,7 @@
 const (
 	furtherStream = 1
 	deadlyStream  = 2
+	versionStream = 3
 )
 
 // fault is one entry of a plan.
@@ -130,5 +132,5 @@
 
 // isPlanned says whether a kind is planned work, around which no request may be cut.
 func (k kind) isPlanned() bool {
-	return slices.Contains(plannedKinds, k) || k == largeConfiguration
+	return slices.Contains(plannedKinds, k) || k == largeConfiguration || k == replaceVersions
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -28,6 +28,8 @@
 	domain  string
 	region  string
 	program string
+	// other is the program of the other version, if two run side by side.
+	other   string
 	logPath string
 	// store is the address at which it reaches the store.
 	store string
@@ -157,9 +159,13 @@
 
 // build builds the daemon into a directory and returns its path.
 func build(dir string) (string, error) {
-	path := filepath.Join(dir, "lovageyardd")
+	return buildIn(filepath.Join("..", "lovageyardd"), filepath.Join(dir, "lovageyardd"))
+}
+
+// buildIn builds the program in a directory and returns its path.
+func buildIn(dir, path string) (string, error) {
 	command := exec.Command("go", "build", "-buildvcs=false", "-o", path, ".")
-	command.Dir = filepath.Join("..", "lovageyardd")
+	command.Dir = dir
 	if out, err := command.CombinedOutput(); err != nil {
 		return "", errors.Errorf("build: %v: %s", err, out)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"os"
 	"strconv"
 	"strings"
@@ -45,13 +46,23 @@
 	testSeeds(t, options{Deadly: true}, []uint64{shortSeed})
 }
 
+// versionBefore is the commit of the version that runs on instances while this one comes.
+const versionBefore = "d137270"
+
+// Instances are replaced in turn by this version, and go back to the one before, while the configuration
+// changes: no change is missed or late, none goes back, and no request is cut.
+func TestTwoVersionsSideBySideKeepThePromises(t *testing.T) {
+	testSeeds(t, options{Before: versionBefore, Instances: 3, Span: 21 * time.Second}, []uint64{shortSeed})
+}
+
 func testSeeds(t *testing.T, o options, seeds []uint64) {
 	c := qt.New(t)
-	program, err := build(c.TempDir())
+	p, err := buildPrograms(c.TempDir(), o.Before)
 	c.Assert(err, qt.IsNil)
-	o.Span, o.Instances, o.Servers, o.Callers, o.Out = 5*time.Second, 4, 6, 8, c.TempDir()
+	o.Span, o.Instances = cmp.Or(o.Span, 5*time.Second), cmp.Or(o.Instances, 4)
+	o.Servers, o.Callers, o.Out = 6, 8, c.TempDir()
 	for _, seed := range seeds {
-		r, err := playSeed(o, program, seed)
+		r, err := playSeed(o, p, seed)
 		c.Assert(err, qt.IsNil)
 		c.Assert(r.broken, qt.HasLen, 0, qt.Commentf("seed %d", seed))
 		c.Assert(r.problems, qt.HasLen, 0, qt.Commentf("seed %d", seed))
--- a/soak/yard.go
+++ b/soak/yard.go
@@ -76,7 +76,7 @@
 	gone  bool
 }
 
-func newYard(program, out string, instances, servers int, check *checker) (*yard, error) {
+func newYard(p programs, out string, instances, servers int, check *checker) (*yard, error) {
 	y := &yard{check: check, store: fake.NewStore(), proxies: make(map[string]*toxiproxy.Proxy)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -97,7 +97,7 @@
 		}
 		i := &instance{
 			name: fmt.Sprint("entry-", n), domain: domains[n%len(domains)].name, region: domains[n%len(domains)].region,
-			program: program, logPath: filepath.Join(out, fmt.Sprintf("entry-%d.log", n)), store: proxy.Listen,
+			program: p.before, other: p.now, logPath: filepath.Join(out, fmt.Sprintf("entry-%d.log", n)), store: proxy.Listen,
 		}
 		y.proxies[i.name] = proxy
 		y.instances = append(y.instances, i)
