--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -29,11 +29,14 @@
 	News() <-chan struct{}
 	// Merge takes in what a peer tells, and says whether any of it was news.
 	Merge(r quarantine.Report) bool
+	// Report returns all that others should know, and ReportSince what is new since a moment.
 	Report() quarantine.Report
 	ReportSince(since time.Time) quarantine.Report
 	// Digest returns a number that is the same for instances that know the same.
 	Digest() uint64
+	// Tick forgets what is too old to count.
 	Tick(now time.Time)
+	// Judge returns what is thought of a request.
 	Judge(request uint64) quarantine.Judgement
 	// Found returns the requests that are held since the last call by what this instance saw itself.
 	Found() []uint64
