Two tests of requests that fell together

With that order forced the test fails each time with the same line; it now waits until all ends are known. The program is as it was.

That failure hid that nothing noticed requests which do not part after an end; TestRequestsThatFellTogetherPart does (it fails with the line undone).

--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -73,3 +73,33 @@
 	y.c.Assert(y.ask(http.MethodGet, "/x/deadly", "").StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	y.c.Assert(y.watch.Judge(beside), qt.Equals, quarantine.Judgement{})
 }
+
+// Requests for one object fell with its server. On their next attempts they go to several servers: together
+// they would fall with the next one as well.
+func TestRequestsThatFellTogetherPart(t *testing.T) {
+	const count = 6
+	var steps []step
+	for range 2 * count {
+		steps = append(steps, good(200))
+	}
+	y := newCrashYard(t, true, 1, steps...)
+	y.key = "object"
+	path := func(n int) string { return fmt.Sprint("/x/", n) }
+	ask := func() map[string]bool {
+		servers := make(map[string]bool)
+		for n := range count {
+			y.c.Assert(y.ask(http.MethodGet, path(n), "").StatusCode, qt.Equals, http.StatusOK)
+			servers[y.sender.sent[len(y.sender.sent)-1].Server] = true
+		}
+		return servers
+	}
+	ended := lovageyard.BackendServer{Name: "ended"}
+	for n := range count {
+		content := quarantine.Content{Method: http.MethodGet, Host: "a.example", Target: path(n)}
+		y.watch.Lost(ended, content.Fingerprint(), time.Now())
+	}
+	y.watch.Ended(ended)
+	y.c.Assert(len(ask()) > 1, qt.IsTrue)
+	// Once they are answered, the object has its home again.
+	y.c.Assert(ask(), qt.HasLen, 1)
+}
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -56,6 +56,8 @@
 	}
 	untilAll("the deadly request is held", func(w *quarantine.Watch) bool { return w.Judge(deadly).Held })
 	untilAll("the popular request is suspect", func(w *quarantine.Watch) bool { return w.Judge(popular).Suspect })
+	// An answer is told only by an instance that knows of more than one end.
+	untilAll("all ends are known", func(w *quarantine.Watch) bool { return w.Digest() == watches[0].Digest() })
 	watches[7].Answered(popular)
 	untilAll("the popular request is cleared", func(w *quarantine.Watch) bool { return !w.Judge(popular).Suspect })
 	start(count)
