The soak counts requests at a cold server by its life

The instances' lines show two requests at one life of i-11, which was cold, its restart under its name at 28.17 s, and five requests at the next life by 28.77. Each life is a server of its own that has just started, and each was within its bound: the check counted both as one.

A new life's count starts anew. Strict as before for each life: TestColdServerIsCountedByItsLife wants the seventh request at one life told, and failed before.

--- a/soak/check.go
+++ b/soak/check.go
@@ -206,6 +206,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.coldUntil[server] = time.Now().Add(coldFor)
+	// What the life before got under this name is none of this one's load.
+	delete(c.coldArrivals, server)
 }
 
 // checkCold checks the bound on requests to a cold server, which holds over all instances,
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -133,6 +133,27 @@
 	}
 }
 
+// A server that starts again under its name while it is cold bears as much as any that has just started:
+// "cold server i-11 got 7019-1147, request 7 in 1s" counted two requests at the life before.
+func TestColdServerIsCountedByItsLife(t *testing.T) {
+	c := qt.New(t)
+	check := newChecker()
+	for life := range 2 {
+		check.Joined("s")
+		for n := range 6 {
+			id := fmt.Sprint(life, "-", n)
+			check.Send(id, "127.0.0.1:1", false)
+			check.Arrived("s", id)
+		}
+	}
+	broken, _ := check.Result()
+	c.Assert(broken, qt.HasLen, 0)
+	check.Send("more", "127.0.0.1:1", false)
+	check.Arrived("s", "more")
+	broken, _ = check.Result()
+	c.Assert(broken, qt.HasLen, 1)
+}
+
 func TestPlanIsMadeAgainFromItsSeed(t *testing.T) {
 	c := qt.New(t)
 	c.Assert(makePlan(7, time.Minute), qt.DeepEquals, makePlan(7, time.Minute))
