A request's line tells the limit that its server named

Cause: answers that name a limit looked like any others in the logs, so that a limit that is not read could not be told from one that each instance keeps for itself.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -375,6 +375,9 @@
 		fields["load"] = a.choice.Load
 		fields["load-age-ms"] = a.choice.LoadAge.Milliseconds()
 		fields["verdict"] = string(a.verdict())
+		if a.answer != nil && a.answer.Meta.Notice.Limited {
+			fields["server-limit"] = a.answer.Meta.Notice.Limit
+		}
 		if a.err != nil {
 			fields["fingerprint"] = quarantine.Format(x.fingerprint)
 		}
--- a/steering.go
+++ b/steering.go
@@ -152,4 +152,14 @@
 	Reported bool
 	// ColdFor is how long the server stays slow, if it said so.
 	ColdFor time.Duration
+	Notice  Notice
+}
+
+// Notice is what a backend server's answer asks of those who send to it.
+type Notice struct {
+	// Limited says that the server takes only Limit requests a second, from all instances together.
+	Limited bool
+	Limit   float64
+	// Unclear says that the answer names a limit that can't be read.
+	Unclear bool
 }
