A failing test: a server that names a limit is sent more

Symptom: three instances go on sending a server that takes one request a second half of the load, 112 in 4 s where 11 are allowed.

--- /dev/null
+++ b/integration/limit_test.go
@@ -0,0 +1,116 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/platform/fake"
+)
+
+// arrivals notes when requests reach each server.
+type arrivals struct {
+	mu sync.Mutex
+	at map[string][]time.Time
+}
+
+func (a *arrivals) Arrived(server, _ string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.at[server] = append(a.at[server], time.Now())
+}
+
+func (a *arrivals) Ran(string, string) {}
+
+// since returns the arrivals at a server later than a moment.
+func (a *arrivals) since(server string, from time.Time) []time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(a.at[server]), func(at time.Time) bool { return at.Before(from) })
+}
+
+// needyFleet is three instances before servers that ask for less work.
+type needyFleet struct {
+	*edge
+	instances []*edge
+	arrivals  *arrivals
+}
+
+func newNeedyFleet(t *testing.T, servers int) *needyFleet {
+	f := &needyFleet{edge: newEdge(t), arrivals: &arrivals{at: make(map[string][]time.Time)}}
+	for n := range servers {
+		server, err := fake.StartServer(lovageyard.BackendServer{
+			Name: fmt.Sprint("needy-", n), Service: frailService, FailureDomain: "north-1", Region: "north", Slots: 50, State: lovageyard.StateLive,
+		}, time.Millisecond, f.arrivals)
+		f.c.Assert(err, qt.IsNil)
+		f.c.Cleanup(server.Close)
+		f.servers = append(f.servers, server)
+		f.store.PutServer(server.BackendServer)
+	}
+	f.servers = f.servers[len(f.servers)-servers:]
+	f.instances = []*edge{f.edge, f.another("entry-2"), f.another("entry-3")}
+	return f
+}
+
+// load sends requests for many objects at all instances for a span and returns how many each status got.
+func (f *needyFleet) load(span time.Duration) map[int]int {
+	var mu sync.Mutex
+	statuses := make(map[int]int)
+	var senders sync.WaitGroup
+	end := time.Now().Add(span)
+	for i, instance := range f.instances {
+		senders.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				status, _ := instance.ask(http.MethodGet, frailPrefix+"look", fmt.Sprint("needy-", i, "-", time.Now().UnixNano()), "")
+				mu.Lock()
+				statuses[status]++
+				mu.Unlock()
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	senders.Wait()
+	return statuses
+}
+
+// most returns the largest number of moments in any window.
+func most(moments []time.Time, window time.Duration) int {
+	largest := 0
+	for i, first := range moments {
+		last := i
+		for last < len(moments) && moments[last].Sub(first) <= window {
+			last++
+		}
+		largest = max(largest, last-i)
+	}
+	return largest
+}
+
+// A server that names a limit gets no more from all instances together once each of them has heard of it, and
+// callers are served by the others.
+func TestServerThatNamesALimitIsNotSentMore(t *testing.T) {
+	t.Parallel()
+	const limit, window = 1.0, 4 * time.Second
+	f := newNeedyFleet(t, 2)
+	f.load(time.Second)
+	needy := f.servers[0]
+	needy.SetLimit(fmt.Sprint(limit))
+	f.load(time.Second)
+	told := time.Now()
+	statuses := f.load(6 * time.Second)
+	got := most(f.arrivals.since(needy.Name, told), window)
+	allowed := int(1.5*limit*window.Seconds() + 5)
+	f.c.Check(got <= allowed, qt.IsTrue, qt.Commentf("%d requests in %s, allowed %d", got, window, allowed))
+	f.c.Check(got > 0, qt.IsTrue)
+	f.c.Check(statuses[http.StatusOK] > 200, qt.IsTrue, qt.Commentf("%v", statuses))
+	f.c.Check(statuses, qt.HasLen, 1, qt.Commentf("%v", statuses))
+	needy.SetLimit("")
+	f.load(6 * time.Second)
+	f.c.Check(most(f.arrivals.since(needy.Name, told), window) > 2*allowed, qt.IsTrue)
+}
