A request's line tells that its server leaves, or wants rest

Cause: neither could be seen in the logs, so that what a server said could not be told from what was made of it. Nothing acts on it.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -384,6 +384,12 @@
 		if a.answer != nil && a.answer.Meta.Notice.Limited {
 			fields["server-limit"] = a.answer.Meta.Notice.Limit
 		}
+		if a.answer != nil && a.answer.Meta.Notice.Leaving {
+			fields["server-leaving"] = true
+		}
+		if a.answer != nil && a.answer.Meta.Notice.Rest > 0 {
+			fields["server-rest-ms"] = a.answer.Meta.Notice.Rest.Milliseconds()
+		}
 		if a.err != nil {
 			fields["fingerprint"] = quarantine.Format(x.fingerprint)
 		}
--- a/steering.go
+++ b/steering.go
@@ -162,4 +162,8 @@
 	Limit   float64
 	// Unclear says that the answer names a limit that can't be read.
 	Unclear bool
+	// Leaving says that the server takes no new work any more.
+	Leaving bool
+	// Rest is how long the server wants nothing from this instance, or 0.
+	Rest time.Duration
 }
