Two failing tests: servers that leave or want rest are sent more

Symptoms: three instances send 216 requests to a server later than two seconds after each was told that it leaves, while the platform lists it as ready; 15 requests reach a server in a rest that it asked for (6 allowed), and 36 of 152 are refused while another server has room. The load of the fleet has four senders an instance.

--- a/integration/limit_test.go
+++ b/integration/limit_test.go
@@ -35,6 +35,9 @@
 	return slices.DeleteFunc(slices.Clone(a.at[server]), func(at time.Time) bool { return at.Before(from) })
 }
 
+// sendersEach is how many senders each instance has.
+const sendersEach = 4
+
 // needyFleet is three instances before servers that ask for less work.
 type needyFleet struct {
 	*edge
@@ -42,12 +45,12 @@
 	arrivals  *arrivals
 }
 
-func newNeedyFleet(t *testing.T, servers int) *needyFleet {
+func newNeedyFleet(t *testing.T, servers int, work time.Duration) *needyFleet {
 	f := &needyFleet{edge: newEdge(t), arrivals: &arrivals{at: make(map[string][]time.Time)}}
 	for n := range servers {
 		server, err := fake.StartServer(lovageyard.BackendServer{
 			Name: fmt.Sprint("needy-", n), Service: frailService, FailureDomain: "north-1", Region: "north", Slots: 50, State: lovageyard.StateLive,
-		}, time.Millisecond, f.arrivals)
+		}, work, f.arrivals)
 		f.c.Assert(err, qt.IsNil)
 		f.c.Cleanup(server.Close)
 		f.servers = append(f.servers, server)
@@ -64,9 +67,10 @@
 	statuses := make(map[int]int)
 	var senders sync.WaitGroup
 	end := time.Now().Add(span)
-	for i, instance := range f.instances {
+	for i := range sendersEach * len(f.instances) {
+		instance := f.instances[i%len(f.instances)]
 		senders.Go(func() {
-			for n := 0; time.Now().Before(end); n++ {
+			for time.Now().Before(end) {
 				status, _ := instance.ask(http.MethodGet, frailPrefix+"look", fmt.Sprint("needy-", i, "-", time.Now().UnixNano()), "")
 				mu.Lock()
 				statuses[status]++
@@ -97,7 +101,7 @@
 func TestServerThatNamesALimitIsNotSentMore(t *testing.T) {
 	t.Parallel()
 	const limit, window = 1.0, 4 * time.Second
-	f := newNeedyFleet(t, 2)
+	f := newNeedyFleet(t, 2, time.Millisecond)
 	f.load(time.Second)
 	needy := f.servers[0]
 	needy.SetLimit(fmt.Sprint(limit))
@@ -114,3 +118,42 @@
 	f.load(6 * time.Second)
 	f.c.Check(most(f.arrivals.since(needy.Name, told), window) > 2*allowed, qt.IsTrue)
 }
+
+// A server that says in its answers that it leaves gets no new work a short while later, though the platform still
+// lists it as ready.
+func TestServerThatSaysItLeavesIsSentNoMore(t *testing.T) {
+	t.Parallel()
+	const drain = 2 * time.Second
+	f := newNeedyFleet(t, 2, time.Millisecond)
+	leaving := f.servers[0]
+	f.load(time.Second)
+	f.c.Assert(len(f.arrivals.since(leaving.Name, time.Time{})) > 0, qt.IsTrue)
+	leaving.Leave()
+	f.load(time.Second)
+	told := time.Now()
+	statuses := f.load(2 * drain)
+	late := f.arrivals.since(leaving.Name, told.Add(drain))
+	f.c.Check(len(late), qt.Equals, 0, qt.Commentf("%d requests reached the server", len(late)))
+	f.c.Check(statuses, qt.HasLen, 1, qt.Commentf("%v", statuses))
+	f.c.Check(statuses[http.StatusOK] > 100, qt.IsTrue, qt.Commentf("%v", statuses))
+}
+
+// A server that turns requests away and wants rest gets nothing until that is over, and then again.
+func TestServerThatWantsRestIsLeftAlone(t *testing.T) {
+	t.Parallel()
+	const rest, allowedEach = 4 * time.Second, 2
+	f := newNeedyFleet(t, 2, 250*time.Millisecond)
+	resting := f.servers[0]
+	f.load(time.Second)
+	resting.Rest(rest)
+	began := time.Now()
+	statuses := f.load(rest - time.Second)
+	got := f.arrivals.since(resting.Name, began.Add(time.Second))
+	f.c.Check(len(got) <= allowedEach*len(f.instances), qt.IsTrue, qt.Commentf("%d requests reached the server", len(got)))
+	f.c.Check(statuses, qt.HasLen, 1, qt.Commentf("%v", statuses))
+	f.c.Check(statuses[http.StatusOK] > 100, qt.IsTrue, qt.Commentf("%v", statuses))
+	time.Sleep(time.Until(began.Add(2 * rest)))
+	over := time.Now()
+	f.load(2 * time.Second)
+	f.c.Check(len(f.arrivals.since(resting.Name, over)) > 0, qt.IsTrue)
+}
