Servers that say in answers that they leave get no further requests

Cause: leaving came from the platform's rows alone. Change: the answer's word is kept in the server's record, for its life, whatever the platform lists and later answers say; no choice of any kind takes the server, nor a send over a fresh connection, and its kept connections are closed. An entry without a start that was not listed for 5 s is a new life.

Why it holds: the record is asked in the one place that makes each server eligible. Log line and gauge servers-leaving.

--- a/backpressure/record.go
+++ b/backpressure/record.go
@@ -29,6 +29,8 @@
 	// instances are all that share the server's limits.
 	instances []string
 
+	// leaving says that the server takes no new work any more in this life.
+	leaving bool
 	limited bool
 	limit   float64
 	// namedAt is when the limit was first named since it was lifted last, and heardAt when it was named last.
@@ -56,10 +58,22 @@
 	}
 }
 
-// Hear takes in what an answer says to a request that was sent at a time, and says whether the limit has changed. An
-// answer without a limit lifts it only if its request was sent after the limit was named: answers may overtake
-// each other.
-func (r *Record) Hear(n lovageyard.Notice, sentAt, now time.Time) bool {
+// Change says what an answer has changed of what is known of its server.
+type Change struct {
+	Limit   bool
+	Leaving bool
+}
+
+// Hear takes in what an answer says to a request that was sent at a time.
+func (r *Record) Hear(n lovageyard.Notice, sentAt, now time.Time) Change {
+	change := Change{Limit: r.hearLimit(n, sentAt, now), Leaving: n.Leaving && !r.leaving}
+	r.leaving = r.leaving || n.Leaving
+	return change
+}
+
+// hearLimit takes in the limit of an answer, and says whether it has changed. An answer without a limit lifts it only
+// if its request was sent after the limit was named: answers may overtake each other.
+func (r *Record) hearLimit(n lovageyard.Notice, sentAt, now time.Time) bool {
 	switch {
 	case n.Limited && r.limited && n.Limit == r.limit:
 		r.heardAt = now
@@ -92,9 +106,15 @@
 	return r.limit, r.limited
 }
 
+// Leaving says whether the server takes no new work any more.
+func (r *Record) Leaving() bool {
+	return r.leaving
+}
+
 // Allows says whether the server may get a request now.
 func (r *Record) Allows(now time.Time) bool {
-	return !r.limited || !r.Until(now).After(now)
+	until, ever := r.Until(now)
+	return ever && !until.After(now)
 }
 
 // Take notes that a request is sent to the server.
@@ -104,15 +124,17 @@
 	}
 }
 
-// Until returns when the server may get a request at the earliest.
-func (r *Record) Until(now time.Time) time.Time {
+// Until returns when the server may get a request at the earliest, or false if it never will.
+func (r *Record) Until(now time.Time) (time.Time, bool) {
 	switch {
+	case r.leaving:
+		return time.Time{}, false
 	case !r.limited:
-		return now
+		return now, true
 	case r.rate > 0:
-		return now.Add(r.allowance.Wait(now))
+		return now.Add(r.allowance.Wait(now)), true
 	}
-	return r.nextTrial(now)
+	return r.nextTrial(now), true
 }
 
 // nextTrial returns when the next trial may begin. The trials of instances are spread evenly over time.
--- a/backpressure/record_test.go
+++ b/backpressure/record_test.go
@@ -142,12 +142,12 @@
 	c := qt.New(t)
 	r := NewRecord("entry", "server", []string{"entry"})
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	c.Assert(r.Hear(lovageyard.Notice{Limited: true, Limit: 2}, at(0), at(10)), qt.IsTrue)
-	c.Assert(r.Hear(lovageyard.Notice{}, at(5), at(20)), qt.IsFalse)
-	c.Assert(r.Hear(lovageyard.Notice{Unclear: true}, at(20), at(30)), qt.IsFalse)
+	c.Assert(r.Hear(lovageyard.Notice{Limited: true, Limit: 2}, at(0), at(10)).Limit, qt.IsTrue)
+	c.Assert(r.Hear(lovageyard.Notice{}, at(5), at(20)).Limit, qt.IsFalse)
+	c.Assert(r.Hear(lovageyard.Notice{Unclear: true}, at(20), at(30)).Limit, qt.IsFalse)
 	_, limited := r.Limit()
 	c.Assert(limited, qt.IsTrue)
-	c.Assert(r.Hear(lovageyard.Notice{}, at(20), at(30)), qt.IsTrue)
+	c.Assert(r.Hear(lovageyard.Notice{}, at(20), at(30)).Limit, qt.IsTrue)
 	_, limited = r.Limit()
 	c.Assert(limited, qt.IsFalse)
 	c.Assert(r.Allows(at(30)), qt.IsTrue)
@@ -163,7 +163,7 @@
 			f.ask(n, start)
 			now := start
 			for range 5 {
-				until := f.records[n].Until(now)
+				until, _ := f.records[n].Until(now)
 				c.Assert(f.records[n].Allows(until), qt.IsTrue)
 				f.ask(n, until)
 				now = until
@@ -171,3 +171,14 @@
 		}
 	}
 }
+
+// A server that has said that it leaves stays left alone in this life, whatever later answers say.
+func TestLeavingLasts(t *testing.T) {
+	c := qt.New(t)
+	r := NewRecord("entry", "server", []string{"entry"})
+	c.Assert(r.Hear(lovageyard.Notice{Leaving: true}, start, start).Leaving, qt.IsTrue)
+	c.Assert(r.Hear(lovageyard.Notice{}, start.Add(time.Second), start.Add(time.Second)), qt.Equals, Change{})
+	c.Assert(r.Allows(start.Add(time.Hour)), qt.IsFalse)
+	_, ever := r.Until(start)
+	c.Assert(ever, qt.IsFalse)
+}
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -27,7 +27,7 @@
 		Self: "entry", FailureDomain: "east-1", Region: "east",
 		Bounds: dispatch.Bounds{Shift: dispatch.ShiftBound{Largest: 0.15, Window: 2 * time.Second}},
 	})
-	table.SetCatalog(view)
+	table.SetCatalog(view, time.Unix(1000, 0))
 	route := &view.Configuration.Routes[0]
 	now := time.Unix(1000, 0)
 	b.ReportAllocs()
--- a/dispatch/census.go
+++ b/dispatch/census.go
@@ -9,6 +9,8 @@
 	InFlight int
 	// Limited counts the servers that name a limit to what they take.
 	Limited int
+	// Leaving counts those that have said in answers that they leave.
+	Leaving int
 	// Elsewhere is, for each service, the share of the region's requests that runs in other regions.
 	Elsewhere map[string]float64
 }
@@ -32,6 +34,9 @@
 		if _, limited := one.record.Limit(); limited {
 			c.Limited++
 		}
+		if one.record.Leaving() {
+			c.Leaving++
+		}
 	}
 	return c
 }
--- a/dispatch/choose_test.go
+++ b/dispatch/choose_test.go
@@ -53,7 +53,7 @@
 		}
 	}
 	y.route = &y.view.Configuration.Routes[0]
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	return y
 }
 
@@ -83,7 +83,7 @@
 func TestRequestsForAnObjectGoToItsHome(t *testing.T) {
 	y, other := newYard(t), newYard(t)
 	other.table = dispatch.NewTable(dispatch.Settings{Self: "another-entry", FailureDomain: "east-1", Region: "east", Seed: 7})
-	other.table.SetCatalog(other.view)
+	other.table.SetCatalog(other.view, y.now)
 	const objects = 600
 	counts := make(map[string]int)
 	for i := range objects {
@@ -172,7 +172,7 @@
 		}})
 	}
 	y.view.Drained["east-1"] = true
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	regions := make(map[string]bool)
 	for i := range 30 {
 		key := fmt.Sprint(i)
@@ -212,7 +212,7 @@
 		Self: "entry", FailureDomain: "east-1", Region: "east",
 		Bounds: dispatch.Bounds{Shift: dispatch.ShiftBound{Largest: 0.15, Window: 2 * time.Second}},
 	})
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	ask := func(key string) dispatch.Choice {
 		return y.table.Choose(dispatch.Request{
 			Now: y.now, Route: y.route, Rank: y.route.Rank, Regions: y.route.HomeRegions, Service: "desk", Key: key, Deadline: y.now.Add(time.Hour),
@@ -236,7 +236,7 @@
 			Slots: 2, State: lovageyard.StateLive,
 		}})
 	}
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	ask := func(key string, cutOff bool) string {
 		choice := y.choose(key)
 		y.c.Assert(choice.Refused, qt.IsFalse)
@@ -336,7 +336,7 @@
 			y.view.Servers[i].State = lovageyard.StateLeaving
 		}
 	}
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	// One has been replaced at its address.
 	replaced := y.choose("other")
 	y.done(replaced, dispatch.Outcome{Answered: true, NotRun: true, Misdirected: true})
@@ -348,7 +348,7 @@
 	}
 	// A drained failure domain gets nothing at all.
 	y.view.Drained["east-1"] = true
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	for i := range 10 {
 		y.c.Assert(y.choose(fmt.Sprint(i)).Server.Region, qt.Equals, "west")
 	}
@@ -361,7 +361,7 @@
 		y.c.Assert(y.choose(fmt.Sprint(i)).Server.Region, qt.Equals, "west")
 	}
 	y.view.Drained["west-1"] = true
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	y.c.Assert(y.choose("k").Refused, qt.IsTrue)
 }
 
@@ -377,7 +377,7 @@
 	for i := range y.view.Servers {
 		y.view.Servers[i].ColdUntil = y.now.Add(time.Minute)
 	}
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	counts := make(map[string]int)
 	for i := range 200 {
 		if choice := y.choose(fmt.Sprint(i)); !choice.Refused {
@@ -406,7 +406,7 @@
 	y := newYard(t)
 	y.view.Servers = y.view.Servers[:1]
 	y.view.Servers[0].Life = 100
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	var held []dispatch.Choice
 	for {
 		choice := y.choose("k")
@@ -419,7 +419,7 @@
 	next := *y.view
 	next.Servers = []catalog.Server{y.view.Servers[0]}
 	next.Servers[0].Life = 200
-	y.table.SetCatalog(&next)
+	y.table.SetCatalog(&next, y.now)
 	choice := y.choose("k")
 	y.c.Assert(choice.Refused, qt.IsFalse)
 	y.c.Assert(choice.Server.Life, qt.Equals, int64(200))
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -376,7 +376,7 @@
 				Shift:   dispatch.ShiftBound{Largest: 0.15, Window: 2 * time.Second},
 			},
 		})
-		table.SetCatalog(view)
+		table.SetCatalog(view, start)
 		tables = append(tables, table)
 	}
 	return func(m *model, instance int, r *modelRequest) (*modelServer, func(bool, time.Time)) {
--- a/dispatch/notice_test.go
+++ b/dispatch/notice_test.go
@@ -66,7 +66,7 @@
 func TestRepeatAndSecondSendKeepALimit(t *testing.T) {
 	y := newYard(t)
 	y.view.Servers = y.view.Servers[:2]
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	y.hear("east-0", lovageyard.Notice{Limited: true, Limit: 2})
 	y.now = y.now.Add(2 * time.Second)
 	choice := y.choose("", "east-1")
@@ -98,12 +98,12 @@
 	y.hear("east-0", lovageyard.Notice{Limited: true, Limit: 0.01})
 	all := y.view.Servers
 	y.view.Servers = all[1:2]
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	y.view.Servers = all[:2]
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	y.c.Assert(y.choose("", "east-1").Cause, qt.Equals, dispatch.CauseBackpressure)
 	all[0].Life = 7
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	y.c.Assert(y.choose("", "east-1").Refused, qt.IsFalse)
 	// Late word of the life before is none of this one.
 	earlier := all[0].BackendServer
@@ -117,9 +117,66 @@
 	y := newYard(t)
 	all := y.view.Servers
 	y.view.Servers = all[1:2]
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	y.table.Hear(all[0].BackendServer, lovageyard.Notice{Limited: true, Limit: 0.01}, y.now, y.now)
 	y.view.Servers = all[:2]
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	y.c.Assert(y.choose("", "east-1").Cause, qt.Equals, dispatch.CauseBackpressure)
 }
+
+// A server that says in an answer that it leaves gets no further request, on whichever way, and its objects have other
+// homes. If all say so, callers are refused at once.
+func TestServerThatSaysItLeavesGetsNothing(t *testing.T) {
+	for _, named := range []bool{true, false} {
+		t.Run(fmt.Sprint(named), func(t *testing.T) {
+			y := newYard(t)
+			inFlight := y.choose("")
+			y.hear("east-0", lovageyard.Notice{Leaving: true})
+			counts := y.sends(10*time.Second, named, nil)
+			y.c.Assert(counts["east-0"], qt.Equals, 0, qt.Commentf("%v", counts))
+			y.c.Assert(counts["east-1"]+counts["east-2"]+counts["west-0"]+counts["west-1"]+counts["west-2"], qt.Equals, 500)
+			y.hear(inFlight.Server.Name, lovageyard.Notice{Leaving: true})
+			y.c.Assert(y.table.MaySendAgain(inFlight, y.now), qt.IsFalse)
+			for _, s := range y.view.Servers {
+				y.hear(s.Name, lovageyard.Notice{Leaving: true})
+			}
+			y.c.Assert(y.choose("k").Cause, qt.Equals, dispatch.CauseNoServer)
+		})
+	}
+}
+
+// A server that left is known to have left when its entry lapses and comes back, as after an outage of the platform; one
+// that starts again, in a new life or after it was gone for a while, is used.
+func TestServerThatLeftIsUsedOnceItHasStartedAgain(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		away   time.Duration
+		life   int64
+		isUsed bool
+	}{
+		{"lapsed for a moment", 2 * time.Second, 0, false},
+		{"gone for a while", 6 * time.Second, 0, true},
+		{"a new life", 0, 8, true},
+		{"the same life after long", time.Minute, 7, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			y := newYard(t)
+			all := y.view.Servers[:2]
+			if test.life > 0 {
+				all[0].Life = 7
+			}
+			y.view.Servers = all
+			y.table.SetCatalog(y.view, y.now)
+			y.hear("east-0", lovageyard.Notice{Leaving: true})
+			if test.away > 0 {
+				y.view.Servers = all[1:]
+				y.table.SetCatalog(y.view, y.now)
+				y.now = y.now.Add(test.away)
+			}
+			all[0].Life = test.life
+			y.view.Servers = all
+			y.table.SetCatalog(y.view, y.now)
+			y.c.Assert(y.choose("", "east-1").Refused, qt.Equals, !test.isUsed)
+		})
+	}
+}
--- a/dispatch/rank_test.go
+++ b/dispatch/rank_test.go
@@ -16,7 +16,7 @@
 	for _, r := range accounts {
 		y.view.Configuration.Accounts = append(y.view.Configuration.Accounts, lovageyard.Account{Rank: r})
 	}
-	y.table.SetCatalog(y.view)
+	y.table.SetCatalog(y.view, y.now)
 	for count := 0; ; count++ {
 		choice := y.table.Choose(dispatch.Request{
 			Now: y.now, Route: y.route, Rank: rank, Service: "desk", Deadline: y.now.Add(time.Minute),
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -178,7 +178,7 @@
 }
 
 // SetCatalog takes in a new view of the routes and servers.
-func (t *Table) SetCatalog(view *catalog.Snapshot) {
+func (t *Table) SetCatalog(view *catalog.Snapshot, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if view.Configuration == nil {
@@ -189,13 +189,14 @@
 	present := make(map[string]bool)
 	for _, listed := range view.Servers {
 		present[listed.Name] = true
-		t.setServer(listed)
+		t.setServer(listed, now)
 	}
 	for name := range t.servers {
 		if !present[name] {
 			delete(t.servers, name)
 		}
 	}
+	t.relist(now)
 	for _, s := range t.services {
 		s.servers = s.servers[:0]
 	}
@@ -231,12 +232,12 @@
 	}
 }
 
-func (t *Table) setServer(listed catalog.Server) {
+func (t *Table) setServer(listed catalog.Server, now time.Time) {
 	known := t.servers[listed.Name]
 	if known == nil || known.Life != listed.Life {
 		// A server that has started anew has lost its caches, its queue and its faults. Attempts
 		// at the life before keep their own record of it, which nobody looks at any more.
-		t.servers[listed.Name] = newServer(listed, t.recordOf(listed.BackendServer))
+		t.servers[listed.Name] = newServer(listed, t.recordOf(listed.BackendServer, now))
 		return
 	}
 	known.Server = listed
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -40,6 +40,8 @@
 	steps []step
 	sent  []link.Request
 	hung  chan struct{}
+	// forgotten names the servers whose kept connections were given up.
+	forgotten []string
 	// before is called as a request is sent, if set.
 	before func()
 }
@@ -64,7 +66,7 @@
 	return next.answer, next.err
 }
 
-func (s *sender) Forget(string) {}
+func (s *sender) Forget(server string) { s.forgotten = append(s.forgotten, server) }
 
 type source struct {
 	view *catalog.View
@@ -186,7 +188,7 @@
 		Self: "entry", FailureDomain: "north-1", Region: "north",
 		Bounds: dispatch.Bounds{Retries: dispatch.RetryBound{Ratio: 0.2, Window: 10 * time.Second, Slack: 100}},
 	})
-	table.SetCatalog(y.view.Snapshot)
+	table.SetCatalog(y.view.Snapshot, time.Now())
 	return entry.NewHandler(entry.Parts{
 		Source: y.source(), Limits: y.limits, Codec: platform.Headers{}, Sender: y.sender, Dispatch: table, Quarantine: y.quarantine(logger), Quota: &y.quota,
 		Timer: timer.Clock{}, Logger: logger, Metrics: meter.NewSet(),
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -144,7 +144,7 @@
 	if a.mayBePassed() {
 		x.failed = a
 	}
-	if a.answer != nil && a.answer.Meta.Misdirected {
+	if a.answer != nil && (a.answer.Meta.Misdirected || a.answer.Meta.Notice.Leaving) {
 		x.handler.Sender.Forget(choice.Server.Name)
 	}
 	x.tellQuarantine(a)
--- a/entry/notice.go
+++ b/entry/notice.go
@@ -18,12 +18,16 @@
 
 // Hear takes in the notice of an answer; its request was sent at a time.
 func (o *Notices) Hear(s lovageyard.BackendServer, n lovageyard.Notice, sentAt time.Time) {
-	if !o.Dispatch.Hear(s, n, sentAt, o.Timer.Now()) {
-		return
+	change := o.Dispatch.Hear(s, n, sentAt, o.Timer.Now())
+	log := o.Logger.WithField("server", s.Name)
+	if change.Leaving {
+		log.Info("a server says that it leaves")
 	}
-	fields := logrus.Fields{"server": s.Name, "limited": n.Limited}
-	if n.Limited {
-		fields["server-limit"] = n.Limit
+	if change.Limit {
+		fields := logrus.Fields{"limited": n.Limited}
+		if n.Limited {
+			fields["server-limit"] = n.Limit
+		}
+		log.WithFields(fields).Info("a server's limit has changed")
 	}
-	o.Logger.WithFields(fields).Info("a server's limit has changed")
 }
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -50,7 +50,7 @@
 
 // Follower is told of each new view.
 type Follower interface {
-	SetCatalog(view *catalog.Snapshot)
+	SetCatalog(view *catalog.Snapshot, now time.Time)
 	SetInstances(names []string, now time.Time)
 }
 
@@ -262,7 +262,7 @@
 	}
 	c.settings.Follower.SetInstances(c.sharers(view), c.settings.Timer.Now())
 	if before == nil || before.Snapshot != view.Snapshot {
-		c.settings.Follower.SetCatalog(view.Snapshot)
+		c.settings.Follower.SetCatalog(view.Snapshot, c.settings.Timer.Now())
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -57,8 +57,8 @@
 // follower ignores views.
 type follower struct{}
 
-func (follower) SetCatalog(*catalog.Snapshot)     {}
-func (follower) SetInstances([]string, time.Time) {}
+func (follower) SetCatalog(*catalog.Snapshot, time.Time) {}
+func (follower) SetInstances([]string, time.Time)        {}
 
 // group is a fleet of one failure domain on one stand-in store.
 type group struct {
