Servers that turn requests away and want rest get none until it is over

Callers were refused (up to a fifth of the look-ups in the worst seconds) or served late: four servers of twelve that wanted rest for 3 s got as many requests as before and turned each away; 16 and 19 from one instance, two allowed; 21 of three instances in the test, 6 allowed.

Cause: Retry-After of a server's 503 was not read; a refusal counted as a failure, and a server that answers is left alone for no failure. Change: the longest rest that was asked for is kept in the server's record; no choice takes the server before, a request that was waiting for a connection is withheld (not sent, nobody blamed), and refusals for a rest leave no mark on the server. Where all servers rest or are at their limits, callers are refused at once and told when the first takes a request, also after an attempt that was turned away.

Why it holds: as for the limit, one place says which servers are eligible, and the link asks once more before bytes leave.

--- a/backpressure/record.go
+++ b/backpressure/record.go
@@ -31,6 +31,9 @@
 
 	// leaving says that the server takes no new work any more in this life.
 	leaving bool
+	// restsUntil is when the server takes requests from this instance again.
+	restsUntil time.Time
+
 	limited bool
 	limit   float64
 	// namedAt is when the limit was first named since it was lifted last, and heardAt when it was named last.
@@ -62,15 +65,29 @@
 type Change struct {
 	Limit   bool
 	Leaving bool
+	// Rest says that a rest began which goes on.
+	Rest bool
 }
 
 // Hear takes in what an answer says to a request that was sent at a time.
 func (r *Record) Hear(n lovageyard.Notice, sentAt, now time.Time) Change {
 	change := Change{Limit: r.hearLimit(n, sentAt, now), Leaving: n.Leaving && !r.leaving}
 	r.leaving = r.leaving || n.Leaving
+	if n.Rest > 0 {
+		change.Rest = !r.restsUntil.After(now)
+		// An answer that was on its way does not cut short what another has asked for.
+		r.restsUntil = later(r.restsUntil, now.Add(n.Rest))
+	}
 	return change
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // hearLimit takes in the limit of an answer, and says whether it has changed. An answer without a limit lifts it only
 // if its request was sent after the limit was named: answers may overtake each other.
 func (r *Record) hearLimit(n lovageyard.Notice, sentAt, now time.Time) bool {
@@ -124,17 +141,28 @@
 	}
 }
 
+// Refuses says whether the server takes nothing now, whatever limit it names.
+func (r *Record) Refuses(now time.Time) bool {
+	return r.leaving || now.Before(r.restsUntil)
+}
+
 // Until returns when the server may get a request at the earliest, or false if it never will.
 func (r *Record) Until(now time.Time) (time.Time, bool) {
-	switch {
-	case r.leaving:
+	if r.leaving {
 		return time.Time{}, false
+	}
+	return later(r.restsUntil, r.limitUntil(now)), true
+}
+
+// limitUntil returns when the limit allows a request at the earliest.
+func (r *Record) limitUntil(now time.Time) time.Time {
+	switch {
 	case !r.limited:
-		return now, true
+		return now
 	case r.rate > 0:
-		return now.Add(r.allowance.Wait(now)), true
+		return now.Add(r.allowance.Wait(now))
 	}
-	return r.nextTrial(now), true
+	return r.nextTrial(now)
 }
 
 // nextTrial returns when the next trial may begin. The trials of instances are spread evenly over time.
--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -109,6 +109,13 @@
 	return true
 }
 
+// MaySend says whether the server of a choice still takes the request, which was chosen a moment ago.
+func (t *Table) MaySend(c Choice, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !c.server.record.Refuses(now)
+}
+
 // heldBackUntil returns when a server takes the request that could run it but for what it has asked for, if there is
 // one.
 func (t *Table) heldBackUntil(r Request, s *service) (time.Time, bool) {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -42,6 +42,8 @@
 	hung  chan struct{}
 	// forgotten names the servers whose kept connections were given up.
 	forgotten []string
+	// observer is told what answers ask for, if set.
+	observer link.Observer
 	// before is called as a request is sent, if set.
 	before func()
 }
@@ -63,6 +65,9 @@
 		<-ctx.Done()
 		return nil, lovageyard.MayHaveRun("hung", ctx.Err())
 	}
+	if s.observer != nil && next.answer != nil {
+		s.observer.Hear(lovageyard.BackendServer{Name: r.Server, Life: r.Life}, next.answer.Meta.Notice, time.Now())
+	}
 	return next.answer, next.err
 }
 
@@ -102,6 +107,8 @@
 	accounts map[string]any
 	route    lovageyard.Route
 	quota    limit
+	// hears makes the table of servers hear what answers ask for.
+	hears bool
 	// live makes the handler see the present view, not that of the moment at which it was made.
 	live bool
 }
@@ -189,6 +196,9 @@
 		Bounds: dispatch.Bounds{Retries: dispatch.RetryBound{Ratio: 0.2, Window: 10 * time.Second, Slack: 100}},
 	})
 	table.SetCatalog(y.view.Snapshot, time.Now())
+	if y.hears {
+		y.sender.observer = &entry.Notices{Dispatch: table, Timer: timer.Clock{}, Logger: logger}
+	}
 	return entry.NewHandler(entry.Parts{
 		Source: y.source(), Limits: y.limits, Codec: platform.Headers{}, Sender: y.sender, Dispatch: table, Quarantine: y.quarantine(logger), Quota: &y.quota,
 		Timer: timer.Clock{}, Logger: logger, Metrics: meter.NewSet(),
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -66,6 +66,9 @@
 			return
 		}
 		choice = x.choose()
+		if choice.Cause == dispatch.CauseBackpressure {
+			x.returnAfter = choice.RetryAfter
+		}
 		if !x.allowsRepeat(choice) {
 			x.finish(ctx, a)
 			return
@@ -198,6 +201,7 @@
 		Body:          x.body,
 		ID:            x.meta.ID,
 		Idempotent:    x.route.Idempotent,
+		MaySend:       func() bool { return x.handler.Dispatch.MaySend(choice, x.handler.Timer.Now()) },
 		MayResend:     func() bool { return x.mayResend(choice) },
 		Server:        choice.Server.Name,
 		Life:          choice.Server.Life,
@@ -212,7 +216,7 @@
 		o.Failed = true
 		// A client that left, or a deadline that came before the answer was due, does not
 		// speak against the server.
-		o.Abandoned = ctx.Err() != nil && (x.request.Context().Err() != nil || a.took < 2*a.choice.Expected)
+		o.Abandoned = a.err.Withheld || ctx.Err() != nil && (x.request.Context().Err() != nil || a.took < 2*a.choice.Expected)
 		return o
 	}
 	o.Answered = true
@@ -291,7 +295,7 @@
 	case x.failed != nil:
 		x.pass(x.failed)
 	case !x.ran:
-		x.refuse(causeNotReached, a.reason(), retrySoon, a)
+		x.refuse(causeNotReached, a.reason(), max(retrySoon, x.returnAfter), a)
 	case ctx.Err() != nil:
 		x.log(logrus.InfoLevel, "failed", http.StatusGatewayTimeout, a.reason(), a)
 		x.fail(http.StatusGatewayTimeout, a.reason(), 0)
@@ -307,7 +311,7 @@
 		x.reject(http.StatusBadRequest, "the server finds the request malformed")
 		return
 	}
-	x.refuse(causeServer, a.reason(), max(retrySoon, a.choice.Expected/2), a)
+	x.refuse(causeServer, a.reason(), max(retrySoon, a.choice.Expected/2, x.returnAfter), a)
 }
 
 // pass gives the client the server's whole answer.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -130,6 +130,8 @@
 	cause string
 	// ran says that an attempt may have run the request.
 	ran bool
+	// returnAfter is when a server takes the request again, if all others have asked for less.
+	returnAfter time.Duration
 	// failed is the last attempt whose server answered with a failure of its own, or nil.
 	failed *attempt
 }
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
 )
 
 // The kept connections of a server that leaves are given up with the answer that says so.
@@ -16,3 +20,43 @@
 	y.c.Assert(y.sender.forgotten, qt.DeepEquals, []string{y.sender.sent[0].Server})
 	y.c.Assert(y.log.String(), qt.Contains, `"server-leaving":true`)
 }
+
+// resting is the answer of a server that turns a request away and wants rest; the link passes what it asks for to the
+// table of servers.
+func resting() step {
+	s := notRun(503)
+	s.answer.Meta.Notice.Rest = 7 * time.Second
+	return s
+}
+
+// A request that one server turned away for a rest is served by another.
+func TestRequestTurnedAwayForARestGoesToAnotherServer(t *testing.T) {
+	y := newYard(t, resting(), good(200))
+	y.c.Assert(y.ask(http.MethodGet, "/x/", "").StatusCode, qt.Equals, http.StatusOK)
+	y.c.Assert(y.log.String(), qt.Contains, `"server-rest-ms":7000`)
+}
+
+// Once all servers want rest, callers are told when that is over, whether the request was tried or not.
+func TestCallerIsToldHowLongAllServersRest(t *testing.T) {
+	y := newYardOf(t, 1, resting())
+	y.hears = true
+	y.serving = y.handler()
+	for range 2 {
+		response := y.ask(http.MethodGet, "/x/", "")
+		y.c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		y.c.Assert(err, qt.IsNil)
+		y.c.Assert(after > 5, qt.IsTrue, qt.Commentf("%v", after))
+	}
+	y.c.Assert(y.sender.sent, qt.HasLen, 1)
+}
+
+// A request that was withheld says nothing against its server.
+func TestWithheldRequestIsServedElsewhereAndBlamesNobody(t *testing.T) {
+	withheld := lovageyard.NotRun("not wanted", nil)
+	withheld.Withheld = true
+	y := newYardOf(t, 1, step{err: withheld}, good(200))
+	y.serving = y.handler()
+	y.c.Assert(y.ask(http.MethodGet, "/x/", "").StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	y.c.Assert(y.ask(http.MethodGet, "/x/", "").StatusCode, qt.Equals, http.StatusOK)
+}
--- a/integration/limit_test.go
+++ b/integration/limit_test.go
@@ -58,9 +58,21 @@
 	}
 	f.servers = f.servers[len(f.servers)-servers:]
 	f.instances = []*edge{f.edge, f.another("entry-2"), f.another("entry-3")}
+	for _, instance := range f.instances {
+		f.until("all servers get work", func() bool { return f.reachesAll(instance) })
+	}
 	return f
 }
 
+// reachesAll says whether an instance sends requests for some objects to all servers.
+func (f *needyFleet) reachesAll(instance *edge) bool {
+	began := time.Now()
+	for i := range 20 {
+		instance.ask(http.MethodGet, frailPrefix+"look", fmt.Sprint("first-", i, "-", began.UnixNano()), "")
+	}
+	return !slices.ContainsFunc(f.servers, func(s *fake.Server) bool { return len(f.arrivals.since(s.Name, began)) == 0 })
+}
+
 // load sends requests for many objects at all instances for a span and returns how many each status got.
 func (f *needyFleet) load(span time.Duration) map[int]int {
 	var mu sync.Mutex
--- a/link/link.go
+++ b/link/link.go
@@ -67,6 +67,8 @@
 	// MayResend says whether the budget of repeats has room for sending the request once
 	// more; nil means that it is not sent again.
 	MayResend func() bool
+	// MaySend says whether the server still takes the request once a connection is open; nil means that it does.
+	MaySend func() bool
 	// Server is the server's name, and Life when this life of it started; see
 	// lovageyard.BackendServer.
 	Server        string
@@ -193,6 +195,13 @@
 	return failure
 }
 
+// withheld returns the failure of a request that the server did not want any more when it could be sent.
+func withheld() *lovageyard.RequestError {
+	failure := lovageyard.NotRun("the backend server has asked for no more meanwhile", nil)
+	failure.Withheld = true
+	return failure
+}
+
 // isRefused says whether a connection was refused, as nothing listens at the port.
 func isRefused(err error) bool {
 	return errors.Is(err, syscall.ECONNREFUSED)
@@ -210,6 +219,10 @@
 		return nil, notReached(err)
 	}
 	took := l.timer.Now().Sub(began)
+	if r.MaySend != nil && !r.MaySend() {
+		l.give(c, r.peer(), http.Header{})
+		return nil, withheld()
+	}
 	answer, err := l.exchange(ctx, c, r)
 	if answer != nil {
 		answer.DialTime = took
--- a/link/notice_test.go
+++ b/link/notice_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/link"
@@ -103,3 +104,22 @@
 	c.Assert(response.Body.Close(), qt.IsNil)
 	c.Assert(o.all(), qt.HasLen, 1)
 }
+
+// A server that asks for no more while a connection is opened does not get the request; the connection is kept.
+func TestRequestIsWithheldOnceItsServerAsksForNoMore(t *testing.T) {
+	c := qt.New(t)
+	b := newBackendServer(c, answer("2", "two"))
+	l := newLink(c)
+	r := request(b, "1", true)
+	r.MaySend = func() bool { return false }
+	_, err := send(c, l, r)
+	var failure *lovageyard.RequestError
+	c.Assert(errors.As(err, &failure), qt.IsTrue)
+	c.Assert(failure.Verdict, qt.Equals, lovageyard.VerdictNotRun)
+	c.Assert(failure.Withheld, qt.IsTrue)
+	_, err = send(c, l, request(b, "2", true))
+	c.Assert(err, qt.IsNil)
+	requests, conns := b.seen()
+	c.Assert(requests, qt.HasLen, 1)
+	c.Assert(conns, qt.Equals, 1)
+}
--- a/verdict.go
+++ b/verdict.go
@@ -34,6 +34,8 @@
 	Broken bool
 	// Ended says that the server has ended: its port refuses connections, or is another's.
 	Ended bool
+	// Withheld says that nothing was sent, as the server had asked for no more.
+	Withheld bool
 }
 
 // Error returns the reason and the cause.
