--- a/integration/limit_test.go
+++ b/integration/limit_test.go
@@ -116,7 +116,7 @@
 	f := newNeedyFleet(t, 2, time.Millisecond)
 	f.load(time.Second)
 	needy := f.servers[0]
-	needy.SetLimit(fmt.Sprint(limit))
+	needy.SetLimit(limit)
 	f.load(time.Second)
 	told := time.Now()
 	statuses := f.load(6 * time.Second)
@@ -126,7 +126,7 @@
 	f.c.Check(got > 0, qt.IsTrue)
 	f.c.Check(statuses[http.StatusOK] > 200, qt.IsTrue, qt.Commentf("%v", statuses))
 	f.c.Check(statuses, qt.HasLen, 1, qt.Commentf("%v", statuses))
-	needy.SetLimit("")
+	needy.SetLimit(-1)
 	f.load(6 * time.Second)
 	f.c.Check(most(f.arrivals.since(needy.Name, told), window) > 2*allowed, qt.IsTrue)
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -76,6 +76,7 @@
 	ends       map[string]int
 	thirdAt    map[string]time.Time
 	late       map[string]int
+	needs      needs
 	violations []string
 	counts     map[string]int
 }
@@ -111,6 +112,7 @@
 		ends:         make(map[string]int),
 		thirdAt:      make(map[string]time.Time),
 		late:         make(map[string]int),
+		needs:        newNeeds(),
 		counts:       make(map[string]int),
 	}
 }
@@ -135,6 +137,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.nameOf[address] = instance
+	c.needs.began[instance] = time.Now()
 }
 
 // quiet says whether nothing that counts was harmed in a time, and counts how often it was
@@ -253,6 +256,7 @@
 	c.checkRepeats(server, id, now)
 	sender := c.sender[id]
 	c.checkDeadly(server, id, now)
+	c.checkNeeds(server, id, now)
 	left, leaves := c.leftAt[server]
 	if leaves && now.Sub(left) > leaveBound && c.mustKnow("arrivals after leaving", sender, left, leaveBound, now) {
 		c.violate("server %s got %s from %s %s after it left", server, id, sender, now.Sub(left))
@@ -321,6 +325,9 @@
 	if o.Status >= 200 && o.Status < 300 && (!o.Whole || !o.Own) {
 		c.violate("%s got a success that is not its own whole answer from %s", o.ID, o.Instance)
 	}
+	if o.Status != 0 {
+		c.passed(o.ID)
+	}
 	c.checkKnown(o)
 	if notRunStatus(o.Status) {
 		c.refused[o.ID] = true
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
 )
 
 // Each promise is tripped by what a broken system would show.
@@ -96,6 +98,33 @@
 				c.Arrived("s", "0")
 			}
 		}},
+		{"work after an answer that leaves", ".*after its answer that it leaves", func(c *checker) {
+			c.needs.leaving[way{"s", ""}] = time.Now().Add(-3 * time.Second)
+			c.Send("x", "127.0.0.1:1", false)
+			c.Arrived("s", "x")
+		}},
+		{"work in a rest", ".*request 3 in a rest.*", func(c *checker) {
+			for i := range 3 {
+				id := fmt.Sprint(i)
+				c.Send(id, "127.0.0.1:1", false)
+				c.Asked("s", id, lovageyard.Notice{Rest: time.Minute})
+				r := c.needs.rests[way{"s", ""}]
+				r.asked = time.Now().Add(-2 * time.Second)
+				c.needs.rests[way{"s", ""}] = r
+				c.Arrived("s", id)
+			}
+		}},
+		{"work beyond a limit", ".*names a limit of 0.5.* request 9 in 4s", func(c *checker) {
+			for i := range 9 {
+				id := fmt.Sprint(i)
+				c.Send(id, "127.0.0.1:1", false)
+				c.Asked("s", id, lovageyard.Notice{Limited: true, Limit: 0.5})
+				c.Ended(outcome{ID: id, Status: 200, Whole: true, Own: true})
+				c.needs.namedAt["s"] = time.Now().Add(-time.Minute)
+				c.needs.limited[way{"s", ""}] = time.Now().Add(-time.Minute)
+				c.Arrived("s", id)
+			}
+		}},
 		{"a configuration that goes back", ".*went back.*", func(c *checker) {
 			c.Probed("entry/1", 5, 200, time.Now())
 			c.Probed("entry/1", 4, 200, time.Now())
--- a/soak/main.go
+++ b/soak/main.go
@@ -30,6 +30,7 @@
 	Out       string        `default:"../out/soak" help:"Directory for the logs of each run."`
 	Further   bool          `default:"true" negatable:"" help:"Restart servers under their names, write foreign entries, large configurations over narrow links to the store."`
 	Deadly    bool          `default:"true" negatable:"" help:"Send requests that end the servers which run them."`
+	Needy     bool          `help:"Play servers that ask for less in their answers, beside faults of instances and of the store only."`
 	Before    string        `help:"Commit of an older version, from which all instances start, are replaced in turn by this one, and go back again; there are no faults then."`
 	Show      bool          `help:"Print the plan of each run."`
 }
@@ -144,6 +145,9 @@
 	if o.Deadly {
 		plan = withDeadly(plan, seed, o.Span)
 	}
+	if o.Needy {
+		plan = needyPlan(seed, o.Span)
+	}
 	if o.Before != "" {
 		plan = versionPlan(seed, o.Span)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -55,6 +55,11 @@
 	testSeeds(t, o, []uint64{7123})
 }
 
+// Servers that name limits, want rest, or say only in their answers that they leave.
+func TestNeedySeedKeepsThePromises(t *testing.T) {
+	testSeeds(t, options{Needy: true, Span: 12 * time.Second}, []uint64{3})
+}
+
 // versionBefore is the commit of the version that runs on instances while this one comes.
 const versionBefore = "d137270"
 
