--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -60,3 +60,13 @@
 	y.c.Assert(y.ask(http.MethodGet, "/x/", "").StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	y.c.Assert(y.ask(http.MethodGet, "/x/", "").StatusCode, qt.Equals, http.StatusOK)
 }
+
+// A server that has asked for no more gets the request on no other way either.
+func TestLaterSendsAskWhatTheServerTakes(t *testing.T) {
+	y := newYardOf(t, 1, resting())
+	y.hears = true
+	y.serving = y.handler()
+	y.ask(http.MethodGet, "/x/", "")
+	y.c.Assert(y.sender.sent[0].MaySend(), qt.IsFalse)
+	y.c.Assert(y.sender.sent[0].MayResend(), qt.IsFalse)
+}
