--- a/meter/meter.go
+++ b/meter/meter.go
@@ -52,8 +52,8 @@
 	ConfigurationNow  = Metric{"configuration-version", Gauge, nil, "version of the configuration in force"}
 	ConfigurationAge  = Metric{"configuration-age", Gauge, nil, "milliseconds since the configuration came into force"}
 	KnowledgeAge      = Metric{"knowledge-age", Gauge, nil, "milliseconds since the configuration in force was known to be the newest, -1 if it never was"}
-	LimitReports      = Metric{"limit-reports", Counter, []string{"outcome"}, "reports on accounts' limits to their keepers, by outcome: ok or failed"}
-	LimitsTight       = Metric{"limits-tight", Gauge, nil, "client accounts that are near their limits, by the keepers' word"}
+	LimitReports      = Metric{"limit-reports", Counter, []string{"outcome"}, "reports on accounts' limits to the instances that own them, by outcome: ok or failed"}
+	LimitsTight       = Metric{"limits-tight", Gauge, nil, "client accounts that are near their limits, by the word of the instances that own their limits"}
 	InstancesLive     = Metric{"instances-live", Gauge, nil, "entry instances that are believed to take work"}
 	ChangeAge         = Metric{"change-age", Histogram, []string{"table"}, "milliseconds from the moment when the first instance heard of a change from the platform to its being in force here"}
 	PlatformReads     = Metric{"platform-reads", Counter, []string{"table"}, "calls that read the platform"}
--- a/peer/client.go
+++ b/peer/client.go
@@ -72,7 +72,7 @@
 	return reply, nil
 }
 
-// Settle reports what was used of accounts' limits to their keeper at an address.
+// Settle reports what was used of accounts' limits to their owner at an address.
 func (c *Client) Settle(ctx context.Context, address string, r *wire.SettleRequest) (*wire.SettleReply, error) {
 	reply, err := wire.NewQuotaProtobufClient("http://"+address, c.within(0)).Settle(ctx, r)
 	return reply, errors.Wrap(err, "settle with "+address)
--- a/quota/bound.go
+++ b/quota/bound.go
@@ -6,11 +6,11 @@
 	"lovageyard.example/lovageyard"
 )
 
-// tokensLast is how long tokens may be used that a keeper has handed out.
+// tokensLast is how long tokens may be used that an owner has handed out.
 const tokensLast = 350 * time.Millisecond
 
-// limitShare and slackShare are the parts of what a bound allows that keepers hand out. The rest is for requests that
-// instances admit before their keeper knows: for small accounts these are many beside their limit.
+// limitShare and slackShare are the parts of what a bound allows that owners hand out. The rest is for requests that
+// instances admit before their owner knows: for small accounts these are many beside their limit.
 const (
 	limitShare = 0.97
 	slackShare = 0.3
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -18,7 +18,7 @@
 	looseDemand = 0.65
 	// usualSpread is how far the demand of a second strays from its mean, in roots of the limit.
 	usualSpread = 2.0
-	// firstPart is the part of a bucket that a keeper begins with if nobody knows anything, as after a stop
+	// firstPart is the part of a bucket that an owner begins with if nobody knows anything, as after a stop
 	// of all instances: enough for accounts below their limits, and within what the bound allows beyond a limit.
 	firstPart = 0.2
 	// leastRetry and longestRetry bound when a refused caller comes back.
@@ -32,7 +32,7 @@
 	demand float64
 	at     time.Duration
 	tight  bool
-	// takenAt is when the account was last taken over from another keeper.
+	// takenAt is when the account was last taken over from another owner.
 	takenAt time.Duration
 	// isFirst says that nobody knew of the account when the bucket was made, and first is the part of firstPart
 	// that it has got since.
--- a/quota/convert.go
+++ b/quota/convert.go
@@ -10,7 +10,7 @@
 	r := &wire.SettleRequest{Instance: self}
 	for _, u := range uses {
 		r.Uses = append(r.Uses, &wire.Use{
-			Account: u.Account, Used: int64(u.Used), Returned: int64(u.Returned), Wanted: int64(u.Wanted), Level: int64(u.Level), Known: u.Known, Loose: u.Loose, Switched: u.Switched,
+			Account: u.Account, Used: int64(u.Used), Returned: int64(u.Returned), Wanted: int64(u.Wanted), Level: int64(u.Level), Known: u.Known, Unmetered: u.Unmetered, Switched: u.Switched,
 		})
 	}
 	return r
@@ -27,7 +27,7 @@
 			continue
 		}
 		out = append(out, Use{
-			Account: u.GetAccount(), Used: int(u.GetUsed()), Returned: int(u.GetReturned()), Wanted: int(u.GetWanted()), Level: int(u.GetLevel()), Known: u.GetKnown(), Loose: u.GetLoose(), Switched: u.GetSwitched(),
+			Account: u.GetAccount(), Used: int(u.GetUsed()), Returned: int(u.GetReturned()), Wanted: int(u.GetWanted()), Level: int(u.GetLevel()), Known: u.GetKnown(), Unmetered: u.GetUnmetered(), Switched: u.GetSwitched(),
 		})
 	}
 	return out
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -9,7 +9,7 @@
 
 // Times of an instance's decisions.
 const (
-	// trustFor is how long an instance goes by a keeper's word.
+	// trustFor is how long an instance goes by an owner's word.
 	trustFor = 2 * time.Second
 	// prefetchFor is the time for which tokens are asked for in advance while an account is tight.
 	prefetchFor = 200 * time.Millisecond
@@ -21,7 +21,7 @@
 	fewUnreported  = 2
 	// ownSpan is the time for which an instance may save up its own part of a limit.
 	ownSpan = 100 * time.Millisecond
-	// retryUnasked is when to come back after a refusal as no keeper could be asked; others take over by then.
+	// retryUnasked is when to come back after a refusal as no owner could be asked; others take over by then.
 	retryUnasked = 300 * time.Millisecond
 	// idleAfter is when an account that sends nothing is forgotten.
 	idleAfter = 10 * time.Second
@@ -46,23 +46,23 @@
 	RetryAfter time.Duration
 }
 
-// word is what was heard from a keeper last.
+// word is what was heard from an owner last.
 type word struct {
 	// askedAt is when it was asked.
 	askedAt time.Duration
-	// young says that accounts which it does not name are tight, too.
-	young bool
+	// warmingUp says that accounts which it does not name are tight, too.
+	warmingUp bool
 }
 
 // entry is what an instance knows of one account.
 type entry struct {
-	// tight says that requests need tokens, by the word of a keeper that was asked at heardAt.
+	// tight says that requests need tokens, by the word of an owner that was asked at heardAt.
 	tight   bool
 	heardAt time.Duration
 	// level is the number of tokens that its bucket had then, or 0 if that was not said.
 	level int
-	// keeper is the one whose word that is.
-	keeper string
+	// owner is the one whose word that is.
+	owner string
 	// usesTokens says that tokens are asked for in advance: the account is tight, or sends more here than may
 	// be admitted without.
 	usesTokens bool
@@ -72,22 +72,22 @@
 	tokensUntil    time.Duration
 	// waiting is the number of requests that wait for tokens.
 	waiting int
-	// pausedUntil is when the keeper may have tokens again, and retryAfter what refused callers are told.
+	// pausedUntil is when the owner may have tokens again, and retryAfter what refused callers are told.
 	pausedUntil time.Duration
 	retryAfter  time.Duration
 	// demand is the number of requests a second of late.
 	demand   float64
 	demandAt time.Duration
-	// own is the bucket of this instance's own part of the limit, for when no keeper can be asked; it
+	// own is the bucket of this instance's own part of the limit, for when no owner can be asked; it
 	// fills from the last answer of one.
 	own   float64
 	ownAt time.Duration
 }
 
-// Ledger is what an instance admits. Its owner calls it from one goroutine at a time.
+// Ledger is what an instance admits. It is not safe for concurrent use.
 type Ledger struct {
 	entries map[string]*entry
-	// words holds what was heard from each keeper.
+	// words holds what was heard from each owner.
 	words map[string]word
 	began time.Duration
 	// sharers is the number of instances that share the limits.
@@ -113,19 +113,19 @@
 	return e
 }
 
-// isTight says whether requests need tokens; they do as well if no keeper was heard of late.
+// isTight says whether requests need tokens; they do as well if no owner was heard of late.
 func (e *entry) isTight(now time.Duration) bool {
 	return e.tight || now-e.heardAt > trustFor
 }
 
-// Take judges a request of an account with a keeper.
-func (l *Ledger) Take(a *lovageyard.Account, keeper string, now time.Duration) Answer {
+// Take judges a request of an account with an owner.
+func (l *Ledger) Take(a *lovageyard.Account, owner string, now time.Duration) Answer {
 	_, known := l.entries[a.Name]
 	e := l.entry(a.Name)
 	if !known {
-		// Keepers name all accounts that are tight.
-		w := l.newest(keeper)
-		e.tight, e.heardAt, e.keeper = w.young || w.askedAt == 0, w.askedAt, keeper
+		// Owners name all accounts that are tight.
+		w := l.newest(owner)
+		e.tight, e.heardAt, e.owner = w.warmingUp || w.askedAt == 0, w.askedAt, owner
 	}
 	e.note(now)
 	answer := l.judge(e, a, now)
@@ -135,12 +135,12 @@
 	return answer
 }
 
-// HasHeard says whether a keeper has answered.
+// HasHeard says whether an owner has answered.
 func (l *Ledger) HasHeard() bool {
 	return len(l.words) > 0
 }
 
-// Tight returns the number of accounts that need tokens by a keeper's word of late.
+// Tight returns the number of accounts that need tokens by an owner's word of late.
 func (l *Ledger) Tight(now time.Duration) int {
 	count := 0
 	for _, e := range l.entries {
@@ -151,9 +151,9 @@
 	return count
 }
 
-// newest returns the last word of a keeper, or if there is none of late, that of another.
-func (l *Ledger) newest(keeper string) word {
-	w := l.words[keeper]
+// newest returns the last word of an owner, or if there is none of late, that of another.
+func (l *Ledger) newest(owner string) word {
+	w := l.words[owner]
 	for _, other := range l.words {
 		if other.askedAt-w.askedAt > trustFor {
 			w = other
@@ -190,7 +190,7 @@
 	return max(fewUnreported, unreportedPart*a.Burst/float64(l.sharers))
 }
 
-// GiveUp judges a request that has waited for a keeper in vain, by this instance's own part of the limit.
+// GiveUp judges a request that has waited for an owner in vain, by this instance's own part of the limit.
 func (l *Ledger) GiveUp(a *lovageyard.Account, now time.Duration) Answer {
 	e := l.entry(a.Name)
 	e.waiting--
@@ -227,11 +227,11 @@
 	return int(e.demand * prefetchFor.Seconds())
 }
 
-// Report returns what a keeper is to be told of its accounts, which count as told from then on.
-func (l *Ledger) Report(keeper string, keeps func(account string) bool, now time.Duration) []Use {
+// Report returns what an owner is to be told of its accounts, which count as told from then on.
+func (l *Ledger) Report(owner string, owns func(account string) bool, now time.Duration) []Use {
 	var uses []Use
 	for name, e := range l.entries {
-		if !keeps(name) {
+		if !owns(name) {
 			continue
 		}
 		e.expire(now)
@@ -244,7 +244,7 @@
 		}
 		e.used, e.returned = 0, 0
 		if now-e.heardAt <= trustFor {
-			use.Known, use.Level, use.Loose, use.Switched = true, e.level, !e.tight, e.keeper != keeper
+			use.Known, use.Level, use.Unmetered, use.Switched = true, e.level, !e.tight, e.owner != owner
 		}
 		uses = append(uses, use)
 	}
@@ -267,21 +267,21 @@
 	}
 }
 
-// Settled takes in a keeper's answer, to a question of a moment, for all accounts that it keeps.
-func (l *Ledger) Settled(keeper string, keeps func(account string) bool, young bool, states []State, askedAt, now time.Duration) {
-	if before := l.words[keeper]; before.askedAt > askedAt {
+// Settled takes in an owner's answer, to a question of a moment, for all accounts that it owns.
+func (l *Ledger) Settled(owner string, owns func(account string) bool, warmingUp bool, states []State, askedAt, now time.Duration) {
+	if before := l.words[owner]; before.askedAt > askedAt {
 		return
 	}
-	l.words[keeper] = word{askedAt: askedAt, young: young}
+	l.words[owner] = word{askedAt: askedAt, warmingUp: warmingUp}
 	for name, e := range l.entries {
-		if keeps(name) {
-			e.tight, e.heardAt, e.level, e.keeper = young, askedAt, 0, keeper
+		if owns(name) {
+			e.tight, e.heardAt, e.level, e.owner = warmingUp, askedAt, 0, owner
 			e.own, e.ownAt = 0, now
 		}
 	}
 	for _, s := range states {
 		e := l.entry(s.Account)
-		e.keeper = keeper
+		e.owner = owner
 		e.settled(s, askedAt, now)
 	}
 }
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -22,29 +22,29 @@
 	now := time.Hour
 	l := quota.NewLedger(now)
 	l.SetSharers(instances)
-	l.Settled("keeper", all, false, nil, now, now)
+	l.Settled("owner", all, false, nil, now, now)
 	admitted := 0
-	for l.Take(a, "keeper", now).Verdict == quota.Admitted && admitted < enough {
+	for l.Take(a, "owner", now).Verdict == quota.Admitted && admitted < enough {
 		admitted++
 	}
 	c.Assert(admitted > 1, qt.IsTrue)
 	c.Assert(float64(admitted*instances) <= a.Burst, qt.IsTrue, qt.Commentf("%d at each of %d instances", admitted, instances))
-	uses := l.Report("keeper", all, now)
+	uses := l.Report("owner", all, now)
 	c.Assert(uses, qt.HasLen, 1)
 	c.Assert(uses[0].Used, qt.Equals, admitted)
-	c.Assert(l.Take(a, "keeper", now).Verdict, qt.Equals, quota.Admitted)
+	c.Assert(l.Take(a, "owner", now).Verdict, qt.Equals, quota.Admitted)
 }
 
-// Without word of a keeper, requests need tokens.
-func TestOldWordOfAKeeperAdmitsNothing(t *testing.T) {
+// Without word of an owner, requests need tokens.
+func TestOldWordOfAOwnerAdmitsNothing(t *testing.T) {
 	c := qt.New(t)
 	a := &lovageyard.Account{Name: "a", Rate: 100, Burst: 100}
 	now := time.Hour
 	l := quota.NewLedger(now)
-	c.Assert(l.Take(a, "keeper", now).Verdict, qt.Equals, quota.Pending)
-	l.Settled("keeper", all, false, nil, now, now)
-	c.Assert(l.Take(a, "keeper", now.Truncate(time.Second)).Verdict, qt.Equals, quota.Admitted)
-	c.Assert(l.Take(a, "keeper", now+time.Minute).Verdict, qt.Equals, quota.Pending)
+	c.Assert(l.Take(a, "owner", now).Verdict, qt.Equals, quota.Pending)
+	l.Settled("owner", all, false, nil, now, now)
+	c.Assert(l.Take(a, "owner", now.Truncate(time.Second)).Verdict, qt.Equals, quota.Admitted)
+	c.Assert(l.Take(a, "owner", now+time.Minute).Verdict, qt.Equals, quota.Pending)
 }
 
 // Tokens that are not used in time go back, and are used by nobody here.
@@ -53,11 +53,11 @@
 	a := &lovageyard.Account{Name: "a", Rate: 100, Burst: 100}
 	now := time.Hour
 	l := quota.NewLedger(now)
-	l.Settled("keeper", all, true, []quota.State{{Account: "a", Granted: 3, Tight: true}}, now, now)
-	c.Assert(l.Take(a, "keeper", now).Verdict, qt.Equals, quota.Admitted)
+	l.Settled("owner", all, true, []quota.State{{Account: "a", Granted: 3, Tight: true}}, now, now)
+	c.Assert(l.Take(a, "owner", now).Verdict, qt.Equals, quota.Admitted)
 	now += time.Second
-	c.Assert(l.Take(a, "keeper", now).Verdict, qt.Equals, quota.Pending)
-	uses := l.Report("keeper", all, now)
+	c.Assert(l.Take(a, "owner", now).Verdict, qt.Equals, quota.Pending)
+	uses := l.Report("owner", all, now)
 	c.Assert(uses[0].Returned, qt.Equals, 2)
 	c.Assert(uses[0].Wanted, qt.Equals, 1)
 }
@@ -68,15 +68,15 @@
 	a := &lovageyard.Account{Name: "a", Rate: 100, Burst: 100}
 	now := time.Hour
 	l := quota.NewLedger(now)
-	l.Settled("keeper", all, false, nil, now, now)
-	l.Take(a, "keeper", now)
-	l.Take(a, "keeper", now)
-	l.Report("keeper", all, now)
+	l.Settled("owner", all, false, nil, now, now)
+	l.Take(a, "owner", now)
+	l.Take(a, "owner", now)
+	l.Report("owner", all, now)
 	l.Return("a")
-	uses := l.Report("keeper", all, now)
+	uses := l.Report("owner", all, now)
 	c.Assert(uses[0].Returned, qt.Equals, 1)
 	l.Failed([]quota.Use{{Account: "a", Used: 2, Returned: 1}})
-	uses = l.Report("keeper", all, now)
+	uses = l.Report("owner", all, now)
 	c.Assert(uses[0].Used, qt.Equals, 2)
 	c.Assert(uses[0].Returned, qt.Equals, 0)
 }
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -15,22 +15,22 @@
 	"lovageyard.example/lovageyard/peer/wire"
 )
 
-// Periods and limits of the exchange with keepers.
+// Periods and limits of the exchange with owners.
 const (
 	// reportEvery is how often uses are reported that nobody waits for.
 	reportEvery = 300 * time.Millisecond
-	// startEvery is the same until a keeper has answered for the first time.
+	// startEvery is the same until an owner has answered for the first time.
 	startEvery = 50 * time.Millisecond
-	// beatEvery is how often a keeper hears of an instance that has nothing to report.
+	// beatEvery is how often an owner hears of an instance that has nothing to report.
 	beatEvery = 500 * time.Millisecond
-	// waitFor is how long a request waits for its account's keeper.
+	// waitFor is how long a request waits for its account's owner.
 	waitFor = 250 * time.Millisecond
-	// waitForFirst is the same until a keeper has answered for the first time: all instances may be starting.
+	// waitForFirst is the same until an owner has answered for the first time: all instances may be starting.
 	waitForFirst = 600 * time.Millisecond
-	// callTimeout bounds a call to a keeper, several times as long as the way between regions.
+	// callTimeout bounds a call to an owner, several times as long as the way between regions.
 	callTimeout = 400 * time.Millisecond
-	// avoidFor is how long a keeper that did not answer is left alone; it doubles up to avoidMost with each
-	// further time. Then it is tried by an empty report, beside the keeper that stands in.
+	// avoidFor is how long an owner that did not answer is left alone; it doubles up to avoidMost with each
+	// further time. Then it is tried by an empty report, beside the owner that stands in.
 	avoidFor  = 2 * time.Second
 	avoidMost = 16 * time.Second
 )
@@ -40,7 +40,7 @@
 	View() *catalog.View
 }
 
-// Peers reaches the keepers at other instances.
+// Peers reaches the owners at other instances.
 type Peers interface {
 	Settle(ctx context.Context, address string, r *wire.SettleRequest) (*wire.SettleReply, error)
 }
@@ -67,13 +67,13 @@
 
 	mu     sync.Mutex
 	ledger *Ledger
-	keeper *Keeper
-	// changed is closed and made anew with each answer of a keeper.
+	owner  *Owner
+	// changed is closed and made anew with each answer of an owner.
 	changed chan struct{}
-	// calling holds the keepers that are being asked, and toldAt when each was asked last.
+	// calling holds the owners that are being asked, and toldAt when each was asked last.
 	calling map[string]bool
 	toldAt  map[string]time.Duration
-	// avoided holds until when keepers are not asked.
+	// avoided holds until when owners are not asked.
 	avoided map[string]avoidance
 	// order is that in which instances keep the accounts of the view in force.
 	order order
@@ -86,7 +86,7 @@
 		settings: s,
 		urgent:   make(chan struct{}, 1),
 		ledger:   NewLedger(now),
-		keeper:   NewKeeper(s.Bound, now),
+		owner:    NewOwner(s.Bound, now),
 		changed:  make(chan struct{}),
 		calling:  make(map[string]bool),
 		toldAt:   make(map[string]time.Duration),
@@ -96,7 +96,7 @@
 	return l
 }
 
-// Start sets the reports to keepers going.
+// Start sets the reports to owners going.
 func (l *Limiter) Start() {
 	ticks := l.settings.Timer.Subscribe(reportEvery)
 	starting := l.settings.Timer.Subscribe(startEvery)
@@ -121,7 +121,7 @@
 	})
 }
 
-// hasHeard says whether a keeper has answered.
+// hasHeard says whether an owner has answered.
 func (l *Limiter) hasHeard() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -134,7 +134,7 @@
 	l.running.Wait()
 }
 
-// Admit says whether a request of an account is within its limit. It waits for the account's keeper only
+// Admit says whether a request of an account is within its limit. It waits for the account's owner only
 // while the account is near its limit.
 func (l *Limiter) Admit(ctx context.Context, a *lovageyard.Account) Answer {
 	if a == nil || a.Rate <= 0 {
@@ -143,8 +143,8 @@
 	l.mu.Lock()
 	l.arrange()
 	now := l.settings.Timer.Elapsed()
-	keeper := l.keeperOf(a.Name)
-	answer := l.ledger.Take(a, keeper, now)
+	owner := l.ownerOf(a.Name)
+	answer := l.ledger.Take(a, owner, now)
 	changed := l.changed
 	urgent := l.ledger.IsUrgent(a, now)
 	l.mu.Unlock()
@@ -161,7 +161,7 @@
 	return answer
 }
 
-// await waits for a keeper's answer to a request that is pending.
+// await waits for an owner's answer to a request that is pending.
 func (l *Limiter) await(ctx context.Context, a *lovageyard.Account, changed <-chan struct{}) Answer {
 	wait := waitFor
 	if !l.hasHeard() {
@@ -205,7 +205,7 @@
 	l.ledger.Return(a.Name)
 }
 
-// Tight returns the number of accounts that are near their limits, by the keepers' word.
+// Tight returns the number of accounts that are near their limits, by the owners' word.
 func (l *Limiter) Tight() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -219,7 +219,7 @@
 	}
 }
 
-// arrange works out the order of keepers anew if the view has changed.
+// arrange works out the order of owners anew if the view has changed.
 func (l *Limiter) arrange() {
 	view := l.settings.Source.View()
 	if view == l.order.view {
@@ -228,20 +228,20 @@
 	next := newOrder(view)
 	next.accounts = l.order.accountsOf(view)
 	next.since = l.order.since
-	if next.place(l.settings.Self) != l.order.place(l.settings.Self) || next.keepers() != l.order.keepers() {
+	if next.place(l.settings.Self) != l.order.place(l.settings.Self) || next.owners() != l.order.owners() {
 		next.since = l.settings.Timer.Elapsed()
 	}
 	l.order = next
 	l.ledger.SetSharers(next.sharers)
 }
 
-// keeperOf returns the keeper of an account.
-func (l *Limiter) keeperOf(account string) string {
-	return l.keeperAt(l.order.placeOf(account))
+// ownerOf returns the owner of an account.
+func (l *Limiter) ownerOf(account string) string {
+	return l.ownerAt(l.order.placeOf(account))
 }
 
-// keeperAt returns the instance that keeps the accounts of a place, at last this one itself.
-func (l *Limiter) keeperAt(place int) string {
+// ownerAt returns the instance that owns the accounts of a place, at last this one itself.
+func (l *Limiter) ownerAt(place int) string {
 	isAvoided := func(name string) bool {
 		_, avoided := l.avoided[name]
 		return avoided
@@ -252,15 +252,15 @@
 	return l.settings.Self
 }
 
-// keepers returns the instances that keep accounts.
-func (l *Limiter) keepers() []string {
-	var keepers []string
-	for place := range max(1, l.order.keepers()) {
-		if name := l.keeperAt(place); !slices.Contains(keepers, name) {
-			keepers = append(keepers, name)
+// owners returns the instances that own accounts.
+func (l *Limiter) owners() []string {
+	var owners []string
+	for place := range max(1, l.order.owners()) {
+		if name := l.ownerAt(place); !slices.Contains(owners, name) {
+			owners = append(owners, name)
 		}
 	}
-	return keepers
+	return owners
 }
 
 // Account returns an account of the configuration in force, or nil.
@@ -268,8 +268,8 @@
 	return l.order.accounts[name]
 }
 
-// KeptSince returns since when this instance is the keeper of an account, if it is.
-func (l *Limiter) KeptSince(name string) (time.Duration, bool) {
+// OwnedSince returns since when this instance is the owner of an account, if it is.
+func (l *Limiter) OwnedSince(name string) (time.Duration, bool) {
 	if len(l.order.names) == 0 {
 		return 0, false
 	}
@@ -281,7 +281,7 @@
 	return l.order.sharers
 }
 
-// report tells all keepers what they are to know, those only that somebody waits for if it is urgent.
+// report tells all owners what they are to know, those only that somebody waits for if it is urgent.
 func (l *Limiter) report(urgent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -291,26 +291,26 @@
 	}
 	now := l.settings.Timer.Elapsed()
 	l.tryAvoided(now)
-	for _, keeper := range l.keepers() {
-		keeps := func(account string) bool { return l.keeperOf(account) == keeper }
-		if l.calling[keeper] {
+	for _, owner := range l.owners() {
+		owns := func(account string) bool { return l.ownerOf(account) == owner }
+		if l.calling[owner] {
 			continue
 		}
-		uses := l.ledger.Report(keeper, keeps, now)
-		if len(uses) == 0 && (urgent || now-l.toldAt[keeper] < beatEvery) {
+		uses := l.ledger.Report(owner, owns, now)
+		if len(uses) == 0 && (urgent || now-l.toldAt[owner] < beatEvery) {
 			continue
 		}
-		l.toldAt[keeper] = now
-		if keeper == l.settings.Self {
-			states := l.keeper.Settle(l.settings.Self, uses, l, now)
-			l.settled(keeper, keeps, l.keeper.IsYoung(now), states, now)
+		l.toldAt[owner] = now
+		if owner == l.settings.Self {
+			states := l.owner.Settle(l.settings.Self, uses, l, now)
+			l.settled(owner, owns, l.owner.IsWarmingUp(now), states, now)
 			continue
 		}
-		l.call(keeper, uses, now)
+		l.call(owner, uses, now)
 	}
 }
 
-// tryAvoided asks the keepers that were left alone long enough whether they answer again.
+// tryAvoided asks the owners that were left alone long enough whether they answer again.
 func (l *Limiter) tryAvoided(now time.Duration) {
 	for name, a := range l.avoided {
 		switch {
@@ -322,10 +322,10 @@
 	}
 }
 
-// call reports to the keeper at another instance.
-func (l *Limiter) call(keeper string, uses []Use, askedAt time.Duration) {
-	l.calling[keeper] = true
-	address := l.order.addresses[keeper]
+// call reports to the owner at another instance.
+func (l *Limiter) call(owner string, uses []Use, askedAt time.Duration) {
+	l.calling[owner] = true
+	address := l.order.addresses[owner]
 	request := toRequest(l.settings.Self, uses)
 	l.running.Go(func() {
 		ctx, cancel := context.WithTimeout(l.context, callTimeout)
@@ -333,55 +333,55 @@
 		reply, err := l.settings.Peers.Settle(ctx, address, request)
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		delete(l.calling, keeper)
+		delete(l.calling, owner)
 		now := l.settings.Timer.Elapsed()
 		if err != nil {
 			l.settings.Metrics.Count(meter.LimitReports, "failed")
-			l.failed(keeper, uses, now, err)
+			l.failed(owner, uses, now, err)
 			return
 		}
 		l.settings.Metrics.Count(meter.LimitReports, "ok")
-		keeps := func(account string) bool { return l.keeperOf(account) == keeper }
-		l.settled(keeper, keeps, reply.GetYoung(), fromStates(reply.GetStates()), askedAt)
+		owns := func(account string) bool { return l.ownerOf(account) == owner }
+		l.settled(owner, owns, reply.GetWarmingUp(), fromStates(reply.GetStates()), askedAt)
 	})
 }
 
-// avoidance is how long a keeper is not asked.
+// avoidance is how long an owner is not asked.
 type avoidance struct {
 	span  time.Duration
 	until time.Duration
 }
 
-// again returns the avoidance of a keeper that has not answered once more.
+// again returns the avoidance of an owner that has not answered once more.
 func (a avoidance) again(now time.Duration) avoidance {
 	span := min(avoidMost, max(avoidFor, 2*a.span))
 	return avoidance{span: span, until: now + span}
 }
 
-// settled takes in a keeper's answer and wakes the requests that wait for it.
-func (l *Limiter) settled(keeper string, keeps func(string) bool, young bool, states []State, askedAt time.Duration) {
-	delete(l.avoided, keeper)
-	l.ledger.Settled(keeper, keeps, young, states, askedAt, l.settings.Timer.Elapsed())
+// settled takes in an owner's answer and wakes the requests that wait for it.
+func (l *Limiter) settled(owner string, owns func(string) bool, warmingUp bool, states []State, askedAt time.Duration) {
+	delete(l.avoided, owner)
+	l.ledger.Settled(owner, owns, warmingUp, states, askedAt, l.settings.Timer.Elapsed())
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
-// failed turns to the next keepers.
-func (l *Limiter) failed(keeper string, uses []Use, now time.Duration, err error) {
+// failed turns to the next owners.
+func (l *Limiter) failed(owner string, uses []Use, now time.Duration, err error) {
 	l.ledger.Failed(uses)
-	l.avoided[keeper] = l.avoided[keeper].again(now)
+	l.avoided[owner] = l.avoided[owner].again(now)
 	if l.context.Err() == nil {
-		l.settings.Logger.WithError(err).WithField("keeper", keeper).Info("a keeper of limits did not answer")
+		l.settings.Logger.WithError(err).WithField("owner", owner).Info("an owner of limits did not answer")
 	}
 	l.wake()
 }
 
-// Settle answers the report of another instance, as the keeper of some accounts.
+// Settle answers the report of another instance, as the owner of some accounts.
 func (l *Limiter) Settle(_ context.Context, r *wire.SettleRequest) (*wire.SettleReply, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.arrange()
 	now := l.settings.Timer.Elapsed()
-	states := l.keeper.Settle(r.GetInstance(), fromUses(r.GetUses()), l, now)
-	return &wire.SettleReply{States: toStates(states), Young: l.keeper.IsYoung(now)}, nil
+	states := l.owner.Settle(r.GetInstance(), fromUses(r.GetUses()), l, now)
+	return &wire.SettleReply{States: toStates(states), WarmingUp: l.owner.IsWarmingUp(now)}, nil
 }
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -85,7 +85,7 @@
 	f.c.Assert(f.limiters["entry-0"].Admit(context.Background(), &lovageyard.Account{Name: "a"}).Verdict, qt.Equals, quota.Admitted)
 }
 
-// All instances admit requests of an account, whichever of them is its keeper, and also once that is cut off.
+// All instances admit requests of an account, whichever of them is its owner, and also once that is cut off.
 func TestEveryInstanceAdmits(t *testing.T) {
 	a := lovageyard.Account{Name: "a", Rate: 1000, Burst: 1000}
 	f := newFleet(t, 3, a)
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -32,7 +32,7 @@
 	name   string
 	place  int
 	ledger *quota.Ledger
-	keeper *quota.Keeper
+	owner  *quota.Owner
 	dead   bool
 	// side is the part of the network that the instance is in.
 	side     int
@@ -46,17 +46,17 @@
 	keptFrom time.Duration
 }
 
-// call is a report on its way to a keeper, or its answer on the way back.
+// call is a report on its way to an owner, or its answer on the way back.
 type call struct {
 	from, to *node
 	uses     []quota.Use
 	askedAt  time.Duration
 	arrives  time.Duration
 	answered bool
-	// tries says that the call is to find out whether a keeper answers again.
-	tries  bool
-	states []quota.State
-	young  bool
+	// tries says that the call is to find out whether an owner answers again.
+	tries     bool
+	states    []quota.State
+	warmingUp bool
 }
 
 // world is a fleet of instances that share one account's limit.
@@ -90,14 +90,14 @@
 // start gives an instance a new life.
 func (w *world) start(n *node) {
 	n.dead, n.calling, n.waiting = false, false, nil
-	n.ledger, n.keeper = quota.NewLedger(w.now), quota.NewKeeper(bound, w.now)
+	n.ledger, n.owner = quota.NewLedger(w.now), quota.NewOwner(bound, w.now)
 	n.ledger.SetSharers(len(w.nodes))
 	n.avoided, n.avoidFor, n.keptFrom = make(map[int]time.Duration), make(map[int]time.Duration), w.now
 	n.trying = make(map[int]bool)
 	n.toldAt = w.now - beatEvery
 }
 
-// limits is what one instance's keeper goes by.
+// limits is what one instance's owner goes by.
 type limits struct {
 	w *world
 	n *node
@@ -105,12 +105,12 @@
 
 func (l limits) Account(string) *lovageyard.Account { return &l.w.account }
 func (l limits) Sharers() int                       { return len(l.w.nodes) }
-func (l limits) KeptSince(string) (time.Duration, bool) {
+func (l limits) OwnedSince(string) (time.Duration, bool) {
 	return l.n.keptFrom, l.n.place == 0
 }
 
-// keeperOf returns the keeper that an instance turns to.
-func (w *world) keeperOf(n *node) *node {
+// ownerOf returns the owner that an instance turns to.
+func (w *world) ownerOf(n *node) *node {
 	for _, k := range w.nodes {
 		if _, avoided := n.avoided[k.place]; !avoided {
 			return k
@@ -119,7 +119,7 @@
 	return n
 }
 
-// tryAvoided asks keepers that were left alone long enough whether they answer again.
+// tryAvoided asks owners that were left alone long enough whether they answer again.
 func (w *world) tryAvoided(n *node) {
 	for place, until := range n.avoided {
 		if w.now >= until && !n.trying[place] {
@@ -158,8 +158,8 @@
 }
 
 func (w *world) take(n *node) {
-	keeper := w.keeperOf(n).name
-	w.count(n, n.ledger.Take(&w.account, keeper, w.now))
+	owner := w.ownerOf(n).name
+	w.count(n, n.ledger.Take(&w.account, owner, w.now))
 	n.urgent = n.urgent || n.ledger.IsUrgent(&w.account, w.now)
 }
 
@@ -186,13 +186,13 @@
 	if n.calling || !n.urgent && w.now-n.toldAt < reportEvery {
 		return
 	}
-	keeper := w.keeperOf(n)
-	uses := n.ledger.Report(keeper.name, func(string) bool { return true }, w.now)
+	owner := w.ownerOf(n)
+	uses := n.ledger.Report(owner.name, func(string) bool { return true }, w.now)
 	if len(uses) == 0 && w.now-n.toldAt < beatEvery {
 		return
 	}
 	n.calling, n.urgent, n.toldAt = true, false, w.now
-	w.calls = append(w.calls, &call{from: n, to: keeper, uses: uses, askedAt: w.now, arrives: w.now + oneWay})
+	w.calls = append(w.calls, &call{from: n, to: owner, uses: uses, askedAt: w.now, arrives: w.now + oneWay})
 }
 
 // deliver plays the ends of ways.
@@ -209,8 +209,8 @@
 		case c.answered:
 			w.settled(c)
 		default:
-			c.states = c.to.keeper.Settle(c.from.name, c.uses, limits{w, c.to}, w.now)
-			c.young = c.to.keeper.IsYoung(w.now)
+			c.states = c.to.owner.Settle(c.from.name, c.uses, limits{w, c.to}, w.now)
+			c.warmingUp = c.to.owner.IsWarmingUp(w.now)
 			c.answered, c.arrives = true, w.now+oneWay
 			w.calls = append(w.calls, c)
 		}
@@ -242,7 +242,7 @@
 	} else {
 		n.calling = false
 	}
-	n.ledger.Settled(c.to.name, func(string) bool { return true }, c.young, c.states, c.askedAt, w.now)
+	n.ledger.Settled(c.to.name, func(string) bool { return true }, c.warmingUp, c.states, c.askedAt, w.now)
 	waiting := n.waiting
 	n.waiting = nil
 	for _, since := range waiting {
@@ -405,8 +405,8 @@
 	})
 }
 
-// A keeper that was cut off has its tokens of before, while another one has handed out the limit.
-func TestKeeperThatWasCutOffGivesNoBurst(t *testing.T) {
+// An owner that was cut off has its tokens of before, while another one has handed out the limit.
+func TestOwnerThatWasCutOffGivesNoBurst(t *testing.T) {
 	play(t, func(_ *qt.C, w *world) {
 		w.rate = w.evenly(0.3 * w.account.Rate)
 		w.advance(3 * time.Second)
@@ -419,8 +419,8 @@
 	})
 }
 
-// A keeper that ends, and one that takes its place, give no new burst.
-func TestKeeperThatEndsGivesNoBurst(t *testing.T) {
+// An owner that ends, and one that takes its place, give no new burst.
+func TestOwnerThatEndsGivesNoBurst(t *testing.T) {
 	play(t, func(_ *qt.C, w *world) {
 		w.rate = w.evenly(3 * w.account.Rate)
 		w.advance(8 * time.Second)
@@ -448,8 +448,8 @@
 	})
 }
 
-// Soon after a keeper has ended, and after it is back, requests below the limit are admitted as before.
-func TestKeeperThatEndsIsReplacedSoon(t *testing.T) {
+// Soon after an owner has ended, and after it is back, requests below the limit are admitted as before.
+func TestOwnerThatEndsIsReplacedSoon(t *testing.T) {
 	play(t, func(c *qt.C, w *world) {
 		w.rate = w.evenly(0.5 * w.account.Rate)
 		w.advance(8 * time.Second)
@@ -501,7 +501,7 @@
 	c := qt.New(t)
 	w := newWorld(0, 2, 330)
 	w.settle()
-	keeper := w.nodes[0]
+	owner := w.nodes[0]
 	w.rate = w.evenly(2 * w.account.Rate)
 	w.advance(2200 * time.Millisecond)
 	w.rate = w.evenly(0)
@@ -511,7 +511,7 @@
 	w.rate = w.evenly(2 * w.account.Rate)
 	w.advance(1400 * time.Millisecond)
 	for _, pause := range []time.Duration{100, 300, 1200} {
-		w.start(keeper)
+		w.start(owner)
 		w.advance(pause * time.Millisecond)
 	}
 	w.start(w.nodes[1])
--- a/quota/order.go
+++ b/quota/order.go
@@ -13,14 +13,14 @@
 )
 
 const (
-	// instancesPerKeeper bounds the reports of a second at one keeper.
-	instancesPerKeeper = 100
-	// keepersKey is what keepers are chosen by.
-	keepersKey = "quota-keepers"
+	// instancesPerOwner bounds the reports of a second at one owner.
+	instancesPerOwner = 100
+	// ownersKey is what owners are chosen by.
+	ownersKey = "quota-keepers"
 )
 
-// order is that in which instances keep accounts, by one view. The first ones, a keeper for each
-// instancesPerKeeper instances, share the accounts; the others stand in.
+// order is that in which instances keep accounts, by one view. The first ones, an owner for each
+// instancesPerOwner instances, share the accounts; the others stand in.
 type order struct {
 	view  *catalog.View
 	names []string
@@ -28,7 +28,7 @@
 	addresses map[string]string
 	// sharers is the number of instances that share the limits.
 	sharers int
-	// since is when this instance came to the place that it has among the keepers.
+	// since is when this instance came to the place that it has among the owners.
 	since    time.Duration
 	accounts map[string]*lovageyard.Account
 }
@@ -44,7 +44,7 @@
 }
 
 // registeredIn returns all instances that may be at work. Those that have not been heard of count as well: an
-// instance that has just started knows no other yet, and is to name the same keepers as all do.
+// instance that has just started knows no other yet, and is to name the same owners as all do.
 func registeredIn(view *catalog.View) map[string]lovageyard.EntryInstance {
 	registered := maps.Clone(view.Instances)
 	if registered == nil {
@@ -56,7 +56,7 @@
 	return registered
 }
 
-// candidates returns the instances that may be keepers, the first in the order that all agree on: those with the
+// candidates returns the instances that may be owners, the first in the order that all agree on: those with the
 // widest links.
 func candidates(registered map[string]lovageyard.EntryInstance) []string {
 	widest := 0.0
@@ -69,28 +69,28 @@
 			names = append(names, name)
 		}
 	}
-	return instance.Choose(names, keepersKey, len(names))
+	return instance.Choose(names, ownersKey, len(names))
 }
 
-// keepers returns the number of places that accounts are shared by.
-func (o *order) keepers() int {
-	return min(len(o.names), 1+o.sharers/instancesPerKeeper)
+// owners returns the number of places that accounts are shared by.
+func (o *order) owners() int {
+	return min(len(o.names), 1+o.sharers/instancesPerOwner)
 }
 
-// place returns an instance's place among the keepers, or -1.
+// place returns an instance's place among the owners, or -1.
 func (o *order) place(name string) int {
-	return slices.Index(o.names[:o.keepers()], name)
+	return slices.Index(o.names[:o.owners()], name)
 }
 
-// placeOf returns the place of the keeper of an account, if there are keepers.
+// placeOf returns the place of the owner of an account, if there are owners.
 func (o *order) placeOf(account string) int {
-	return int(xxhash.Sum64String(account) % uint64(max(1, o.keepers())))
+	return int(xxhash.Sum64String(account) % uint64(max(1, o.owners())))
 }
 
-// at returns the instance that keeps the accounts of a place, or "" if all are avoided: the one that has the place,
-// then the other keepers, then those behind them.
+// at returns the instance that owns the accounts of a place, or "" if all are avoided: the one that has the place,
+// then the other owners, then those behind them.
 func (o *order) at(place int, isAvoided func(name string) bool) string {
-	count := o.keepers()
+	count := o.owners()
 	for n, name := range o.names {
 		if n < count {
 			name = o.names[(place+n)%count]
