--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -103,8 +103,8 @@
 	if s.inFlight == 0 {
 		return false
 	}
-	patience := max(leastStall, time.Duration(stallMeans*s.pace*float64(mean)))
-	return now.Sub(s.busySince) > patience
+	longest := max(leastStall, time.Duration(stallMeans*s.pace*float64(mean)))
+	return now.Sub(s.busySince) > longest
 }
 
 // load returns how many requests the server is believed to hold.
--- /dev/null
+++ b/entry/answer.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/decision"
+	"lovageyard.example/lovageyard/link"
+	"lovageyard.example/lovageyard/meter"
+)
+
+// finish answers with what the last attempt gave, or with the failure that an earlier
+// server answered if that is all there is.
+func (x *exchange) finish(ctx context.Context, a *attempt) {
+	switch {
+	case x.request.Context().Err() != nil:
+		x.log(logrus.InfoLevel, "client gone", statusClientGone, a.reason(), a)
+	case a.answer != nil && a.answer.Meta.NotRun && !x.ran:
+		x.passRefusal(a)
+	case a.mayBePassed():
+		x.pass(a)
+	case x.failed != nil:
+		x.pass(x.failed)
+	case !x.ran:
+		x.refuse(causeNotReached, a.reason(), max(retrySoon, x.returnAfter), a)
+	case ctx.Err() != nil:
+		x.log(logrus.InfoLevel, "failed", http.StatusGatewayTimeout, a.reason(), a)
+		x.fail(http.StatusGatewayTimeout, a.reason(), 0)
+	default:
+		x.log(logrus.InfoLevel, "failed", http.StatusBadGateway, a.reason(), a)
+		x.fail(http.StatusBadGateway, a.reason(), 0)
+	}
+}
+
+// passRefusal tells the client that no server ran the request.
+func (x *exchange) passRefusal(a *attempt) {
+	if a.answer.Status == http.StatusBadRequest {
+		x.reject(http.StatusBadRequest, "the server finds the request malformed")
+		return
+	}
+	x.refuse(causeServer, a.reason(), max(retrySoon, a.choice.Expected/2, x.returnAfter), a)
+}
+
+// pass gives the client the server's whole answer.
+func (x *exchange) pass(a *attempt) {
+	h := x.writer.Header()
+	for name, values := range link.EndToEnd(a.answer.Header) {
+		h[name] = values
+	}
+	if _, found := h["Content-Type"]; !found {
+		// An absent header would make net/http guess one.
+		h["Content-Type"] = nil
+	}
+	if x.request.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
+	}
+	x.writer.WriteHeader(a.answer.Status)
+	_, err := x.writer.Write(a.answer.Body)
+	reason := a.choice.Reason
+	if err != nil {
+		reason = "the answer could not be written: " + err.Error()
+	}
+	x.log(logrus.InfoLevel, decision.OutcomeAnswered, a.answer.Status, reason, a)
+	x.count(a.answer.Status)
+	x.observe()
+}
+
+func (x *exchange) observe() {
+	x.handler.Metrics.Observe(meter.Latency, x.handler.Timer.Now().Sub(x.began).Milliseconds(), x.label())
+}
+
+// reject ends a request that is not proper.
+func (x *exchange) reject(status int, reason string) {
+	x.log(logrus.InfoLevel, "rejected", status, reason, nil)
+	x.fail(status, reason, 0)
+}
+
+// refuse ends a request that has not run and never will; a is the last attempt, or nil.
+func (x *exchange) refuse(cause, reason string, retryAfter time.Duration, a *attempt) {
+	x.cause = cause
+	status := http.StatusServiceUnavailable
+	if cause == causeLimit {
+		status = http.StatusTooManyRequests
+	}
+	x.log(logrus.InfoLevel, "refused", status, reason, a)
+	x.handler.Metrics.Count(meter.Refusals, x.label(), cause)
+	x.fail(status, reason, retryAfter)
+}
+
+// failure is the body of our own answers.
+type failure struct {
+	Error   string             `json:"error"`
+	Verdict lovageyard.Verdict `json:"verdict"`
+}
+
+func (x *exchange) fail(status int, reason string, retryAfter time.Duration) {
+	verdict := lovageyard.VerdictNotRun
+	if x.ran {
+		verdict = lovageyard.VerdictMayHaveRun
+	}
+	h := x.writer.Header()
+	x.handler.Codec.Echo(h, x.meta.ID)
+	h.Set("Content-Type", "application/json")
+	h.Set(lovageyard.VerdictHeader, string(verdict))
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	body, err := json.Marshal(failure{Error: reason, Verdict: verdict})
+	if err != nil {
+		x.handler.Logger.WithError(err).Error("a failure could not be encoded")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.writer.WriteHeader(status)
+	_, _ = x.writer.Write(body)
+	x.count(status)
+}
+
+func (x *exchange) count(status int) {
+	x.handler.Metrics.Count(meter.Answers, x.label(), strconv.Itoa(status))
+}
+
+// label returns what stands for the request's service in metrics.
+func (x *exchange) label() string {
+	if x.service == "" {
+		return "none"
+	}
+	return x.service
+}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -3,18 +3,15 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
-	"lovageyard.example/lovageyard/decision"
 	"lovageyard.example/lovageyard/dispatch"
 	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/meter"
-	"lovageyard.example/lovageyard/quarantine"
 )
 
 // Spans of requests.
@@ -36,15 +33,6 @@
 	statusClientGone = 499
 )
 
-// attempt is one try at a backend server.
-type attempt struct {
-	choice dispatch.Choice
-	answer *link.Answer
-	err    *lovageyard.RequestError
-	sentAt time.Time
-	took   time.Duration
-}
-
 // run makes attempts until one is final, and answers.
 func (x *exchange) run() {
 	ctx, cancel := x.context()
@@ -228,46 +216,6 @@
 	return o
 }
 
-// isGood says whether the client gets the server's answer as a success, or as a refusal
-// of the request itself that another server would repeat.
-func (a *attempt) isGood() bool {
-	return a.mayBePassed() && a.answer.Status < http.StatusInternalServerError
-}
-
-// mayBePassed says whether the client may get the server's answer: the server vouches for
-// it, and it does not tell the client that a request which ran has not.
-func (a *attempt) mayBePassed() bool {
-	return a.answer != nil && a.answer.Meta.Sealed && !a.answer.Meta.NotRun && !promisesNotRun(a.answer.Status)
-}
-
-// promisesNotRun says whether clients take a status as a promise that the request has not
-// run and never will.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// verdict says whether the attempt may have run.
-func (a *attempt) verdict() lovageyard.Verdict {
-	switch {
-	case a.err != nil:
-		return a.err.Verdict
-	case a.answer.Meta.NotRun:
-		return lovageyard.VerdictNotRun
-	}
-	return lovageyard.VerdictRan
-}
-
-func (a *attempt) reason() string {
-	if a.err != nil {
-		return a.err.Error()
-	}
-	return "the server answered " + strconv.Itoa(a.answer.Status)
-}
-
 // mayRepeat says whether the request may be sent to another server.
 func (x *exchange) mayRepeat(ctx context.Context, a *attempt) bool {
 	if ctx.Err() != nil || x.request.Context().Err() != nil || len(x.tried) >= x.route.Attempts {
@@ -281,125 +229,3 @@
 	}
 	return !x.ran || x.route.Idempotent
 }
-
-// finish answers with what the last attempt gave, or with the failure that an earlier
-// server answered if that is all there is.
-func (x *exchange) finish(ctx context.Context, a *attempt) {
-	switch {
-	case x.request.Context().Err() != nil:
-		x.log(logrus.InfoLevel, "client gone", statusClientGone, a.reason(), a)
-	case a.answer != nil && a.answer.Meta.NotRun && !x.ran:
-		x.passRefusal(a)
-	case a.mayBePassed():
-		x.pass(a)
-	case x.failed != nil:
-		x.pass(x.failed)
-	case !x.ran:
-		x.refuse(causeNotReached, a.reason(), max(retrySoon, x.returnAfter), a)
-	case ctx.Err() != nil:
-		x.log(logrus.InfoLevel, "failed", http.StatusGatewayTimeout, a.reason(), a)
-		x.fail(http.StatusGatewayTimeout, a.reason(), 0)
-	default:
-		x.log(logrus.InfoLevel, "failed", http.StatusBadGateway, a.reason(), a)
-		x.fail(http.StatusBadGateway, a.reason(), 0)
-	}
-}
-
-// passRefusal tells the client that no server ran the request.
-func (x *exchange) passRefusal(a *attempt) {
-	if a.answer.Status == http.StatusBadRequest {
-		x.reject(http.StatusBadRequest, "the server finds the request malformed")
-		return
-	}
-	x.refuse(causeServer, a.reason(), max(retrySoon, a.choice.Expected/2, x.returnAfter), a)
-}
-
-// pass gives the client the server's whole answer.
-func (x *exchange) pass(a *attempt) {
-	h := x.writer.Header()
-	for name, values := range link.EndToEnd(a.answer.Header) {
-		h[name] = values
-	}
-	if _, found := h["Content-Type"]; !found {
-		// An absent header would make net/http guess one.
-		h["Content-Type"] = nil
-	}
-	if x.request.Method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
-	}
-	x.writer.WriteHeader(a.answer.Status)
-	_, err := x.writer.Write(a.answer.Body)
-	reason := a.choice.Reason
-	if err != nil {
-		reason = "the answer could not be written: " + err.Error()
-	}
-	x.log(logrus.InfoLevel, decision.OutcomeAnswered, a.answer.Status, reason, a)
-	x.count(a.answer.Status)
-	x.observe()
-}
-
-func (x *exchange) observe() {
-	x.handler.Metrics.Observe(meter.Latency, x.handler.Timer.Now().Sub(x.began).Milliseconds(), x.label())
-}
-
-// log writes the line of one decision.
-func (x *exchange) log(level logrus.Level, outcome string, status int, reason string, a *attempt) {
-	if !x.handler.Logger.IsLevelEnabled(level) {
-		return
-	}
-	fields := logrus.Fields{
-		"request-id":          x.meta.ID,
-		decision.FieldOutcome: outcome,
-		"reason":              reason,
-		"attempts":            len(x.tried),
-		"version":             x.view.Version(),
-		"elapsed-ms":          x.handler.Timer.Now().Sub(x.began).Milliseconds(),
-	}
-	if status != 0 {
-		fields[decision.FieldStatus] = status
-	}
-	if x.cause != "" {
-		fields["cause"] = x.cause
-	}
-	if x.caller.account != nil {
-		fields["account"] = x.caller.account.Name
-	}
-	if x.cause == causeStale {
-		fields["knowledge-age-ms"] = x.handler.Source.KnowledgeAge().Milliseconds()
-	}
-	if x.cause == causeHeld {
-		fields["fingerprint"] = quarantine.Format(x.fingerprint)
-	}
-	if x.route != nil {
-		fields["route"] = x.route.Name
-		fields["service"] = x.service
-		fields["goal-ms"] = x.route.Goal.Milliseconds()
-		fields["left-ms"] = x.deadline.Sub(x.handler.Timer.Now()).Milliseconds()
-	}
-	if a != nil {
-		fields["server"] = a.choice.Server.Name
-		fields["site"] = a.choice.Server.Site
-		fields["took-ms"] = a.took.Milliseconds()
-		fields["expected-ms"] = a.choice.Expected.Milliseconds()
-		fields["wait-ms"] = a.choice.Wait.Milliseconds()
-		fields["load"] = a.choice.Load
-		fields["load-age-ms"] = a.choice.LoadAge.Milliseconds()
-		fields["verdict"] = string(a.verdict())
-		if a.answer != nil && a.answer.Meta.Notice.Limited {
-			fields["server-limit"] = a.answer.Meta.Notice.Limit
-		}
-		if a.answer != nil && a.answer.Meta.Notice.Leaving {
-			fields["server-leaving"] = true
-		}
-		if a.answer != nil && a.answer.Meta.Notice.Rest > 0 {
-			fields["server-rest-ms"] = a.answer.Meta.Notice.Rest.Milliseconds()
-		}
-		if a.err != nil {
-			fields["fingerprint"] = quarantine.Format(x.fingerprint)
-		}
-		if a.choice.Object != 0 {
-			fields["object"] = strconv.FormatUint(a.choice.Object, 16)
-		}
-	}
-	x.handler.Logger.WithFields(fields).Log(level, "request")
-}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -249,12 +247,6 @@
 	return http.StatusBadRequest, err
 }
 
-// reject ends a request that is not proper.
-func (x *exchange) reject(status int, reason string) {
-	x.log(logrus.InfoLevel, "rejected", status, reason, nil)
-	x.fail(status, reason, 0)
-}
-
 // Causes of refusals, for metrics, besides those of the choice of a server.
 const (
 	causeClosing    = "closing"
@@ -265,55 +257,3 @@
 	causeLimit      = "limit"
 	causeNoRegion   = "no-region"
 )
-
-// refuse ends a request that has not run and never will; a is the last attempt, or nil.
-func (x *exchange) refuse(cause, reason string, retryAfter time.Duration, a *attempt) {
-	x.cause = cause
-	status := http.StatusServiceUnavailable
-	if cause == causeLimit {
-		status = http.StatusTooManyRequests
-	}
-	x.log(logrus.InfoLevel, "refused", status, reason, a)
-	x.handler.Metrics.Count(meter.Refusals, x.label(), cause)
-	x.fail(status, reason, retryAfter)
-}
-
-// failure is the body of our own answers.
-type failure struct {
-	Error   string             `json:"error"`
-	Verdict lovageyard.Verdict `json:"verdict"`
-}
-
-func (x *exchange) fail(status int, reason string, retryAfter time.Duration) {
-	verdict := lovageyard.VerdictNotRun
-	if x.ran {
-		verdict = lovageyard.VerdictMayHaveRun
-	}
-	h := x.writer.Header()
-	x.handler.Codec.Echo(h, x.meta.ID)
-	h.Set("Content-Type", "application/json")
-	h.Set(lovageyard.VerdictHeader, string(verdict))
-	if retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
-	}
-	body, err := json.Marshal(failure{Error: reason, Verdict: verdict})
-	if err != nil {
-		x.handler.Logger.WithError(err).Error("a failure could not be encoded")
-	}
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	x.writer.WriteHeader(status)
-	_, _ = x.writer.Write(body)
-	x.count(status)
-}
-
-func (x *exchange) count(status int) {
-	x.handler.Metrics.Count(meter.Answers, x.label(), strconv.Itoa(status))
-}
-
-// label returns what stands for the request's service in metrics.
-func (x *exchange) label() string {
-	if x.service == "" {
-		return "none"
-	}
-	return x.service
-}
--- /dev/null
+++ b/entry/log.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"strconv"
+
+	"github.com/sirupsen/logrus"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/decision"
+	"lovageyard.example/lovageyard/quarantine"
+)
+
+// log writes the line of one decision.
+func (x *exchange) log(level logrus.Level, outcome string, status int, reason string, a *attempt) {
+	if !x.handler.Logger.IsLevelEnabled(level) {
+		return
+	}
+	fields := logrus.Fields{
+		"request-id":          x.meta.ID,
+		decision.FieldOutcome: outcome,
+		"reason":              reason,
+		"attempts":            len(x.tried),
+		"version":             x.view.Version(),
+		"elapsed-ms":          x.handler.Timer.Now().Sub(x.began).Milliseconds(),
+	}
+	if status != 0 {
+		fields[decision.FieldStatus] = status
+	}
+	x.addRefusal(fields)
+	if x.caller.account != nil {
+		fields["account"] = x.caller.account.Name
+	}
+	if x.route != nil {
+		fields["route"] = x.route.Name
+		fields["service"] = x.service
+		fields["goal-ms"] = x.route.Goal.Milliseconds()
+		fields["left-ms"] = x.deadline.Sub(x.handler.Timer.Now()).Milliseconds()
+	}
+	if a != nil {
+		x.addAttempt(fields, a)
+	}
+	x.handler.Logger.WithFields(fields).Log(level, "request")
+}
+
+// addRefusal adds why the request was refused, if it was.
+func (x *exchange) addRefusal(fields logrus.Fields) {
+	if x.cause != "" {
+		fields["cause"] = x.cause
+	}
+	if x.cause == causeStale {
+		fields["knowledge-age-ms"] = x.handler.Source.KnowledgeAge().Milliseconds()
+	}
+	if x.cause == causeHeld {
+		fields["fingerprint"] = quarantine.Format(x.fingerprint)
+	}
+}
+
+// addAttempt adds what decided an attempt, and how it ended.
+func (x *exchange) addAttempt(fields logrus.Fields, a *attempt) {
+	fields["server"] = a.choice.Server.Name
+	fields["site"] = a.choice.Server.Site
+	fields["took-ms"] = a.took.Milliseconds()
+	fields["expected-ms"] = a.choice.Expected.Milliseconds()
+	fields["wait-ms"] = a.choice.Wait.Milliseconds()
+	fields["load"] = a.choice.Load
+	fields["load-age-ms"] = a.choice.LoadAge.Milliseconds()
+	fields["verdict"] = string(a.verdict())
+	if a.err != nil {
+		fields["fingerprint"] = quarantine.Format(x.fingerprint)
+	}
+	if a.choice.Object != 0 {
+		fields["object"] = strconv.FormatUint(a.choice.Object, 16)
+	}
+	if a.answer != nil {
+		addNotice(fields, a.answer.Meta.Notice)
+	}
+}
+
+// addNotice adds what the server has asked for in its answer.
+func addNotice(fields logrus.Fields, n lovageyard.Notice) {
+	if n.Limited {
+		fields["server-limit"] = n.Limit
+	}
+	if n.Leaving {
+		fields["server-leaving"] = true
+	}
+	if n.Rest > 0 {
+		fields["server-rest-ms"] = n.Rest.Milliseconds()
+	}
+}
--- a/link/stream.go
+++ b/link/stream.go
@@ -79,19 +79,12 @@
 // is read.
 func startStreaming(c *conn, r *http.Request) <-chan error {
 	written := make(chan error, 1)
-	write := func() {
-		err := r.Write(c.writer)
-		if err == nil {
-			err = c.writer.Flush()
-		}
-		written <- err
-	}
 	if r.Body == nil || r.Body == http.NoBody {
-		write()
+		written <- c.send(r)
 		return written
 	}
 	r.Body = &flushingBody{ReadCloser: r.Body, conn: c}
-	go write()
+	go func() { written <- c.send(r) }()
 	return written
 }
 
