--- a/backpressure/record.go
+++ b/backpressure/record.go
@@ -31,8 +31,8 @@
 
 	// leaving says that the server takes no new work any more in this life.
 	leaving bool
-	// restsUntil is when the server takes requests from this instance again.
-	restsUntil time.Time
+	// backoffUntil is when the server takes requests from this instance again.
+	backoffUntil time.Time
 
 	limited bool
 	limit   float64
@@ -65,18 +65,18 @@
 type Change struct {
 	Limit   bool
 	Leaving bool
-	// Rest says that a rest began which goes on.
-	Rest bool
+	// Backoff says that a backoff began which goes on.
+	Backoff bool
 }
 
 // Hear takes in what an answer says to a request that was sent at a time.
 func (r *Record) Hear(n lovageyard.Notice, sentAt, now time.Time) Change {
 	change := Change{Limit: r.hearLimit(n, sentAt, now), Leaving: n.Leaving && !r.leaving}
 	r.leaving = r.leaving || n.Leaving
-	if n.Rest > 0 {
-		change.Rest = !r.restsUntil.After(now)
+	if n.Backoff > 0 {
+		change.Backoff = !r.backoffUntil.After(now)
 		// An answer that was on its way does not cut short what another has asked for.
-		r.restsUntil = later(r.restsUntil, now.Add(n.Rest))
+		r.backoffUntil = later(r.backoffUntil, now.Add(n.Backoff))
 	}
 	return change
 }
@@ -143,7 +143,7 @@
 
 // Refuses says whether the server takes nothing now, whatever limit it names.
 func (r *Record) Refuses(now time.Time) bool {
-	return r.leaving || now.Before(r.restsUntil)
+	return r.leaving || now.Before(r.backoffUntil)
 }
 
 // Until returns when the server may get a request at the earliest, or false if it never will.
@@ -151,7 +151,7 @@
 	if r.leaving {
 		return time.Time{}, false
 	}
-	return later(r.restsUntil, r.limitUntil(now)), true
+	return later(r.backoffUntil, r.limitUntil(now)), true
 }
 
 // limitUntil returns when the limit allows a request at the earliest.
--- a/dispatch/census.go
+++ b/dispatch/census.go
@@ -11,8 +11,8 @@
 	Limited int
 	// Leaving counts those that have said in answers that they leave.
 	Leaving int
-	// Resting counts those that want nothing from this instance for now.
-	Resting int
+	// BackingOff counts those that want nothing from this instance for now.
+	BackingOff int
 	// Elsewhere is, for each service, the share of the region's requests that runs in other regions.
 	Elsewhere map[string]float64
 }
@@ -39,7 +39,7 @@
 		if one.record.Leaving() {
 			c.Leaving++
 		} else if one.record.Refuses(now) {
-			c.Resting++
+			c.BackingOff++
 		}
 	}
 	return c
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -309,8 +309,8 @@
 		domain.answered()
 		s.answeredAt = o.At
 		s.busySince = o.At
-		if o.Meta.Notice.Rest == 0 {
-			// Once a rest is over, the server is as good as before.
+		if o.Meta.Notice.Backoff == 0 {
+			// Once a backoff is over, the server is as good as before.
 			s.learnFailure(o.Failed || o.NotRun)
 		}
 		if o.Failed && !o.NotRun && s.isIll() {
--- a/entry/log.go
+++ b/entry/log.go
@@ -84,7 +84,7 @@
 	if n.Leaving {
 		fields["server-leaving"] = true
 	}
-	if n.Rest > 0 {
-		fields["server-rest-ms"] = n.Rest.Milliseconds()
+	if n.Backoff > 0 {
+		fields["server-backoff-ms"] = n.Backoff.Milliseconds()
 	}
 }
--- a/entry/notice.go
+++ b/entry/notice.go
@@ -23,8 +23,8 @@
 	if change.Leaving {
 		log.Info("a server says that it leaves")
 	}
-	if change.Rest {
-		log.WithField("server-rest-ms", n.Rest.Milliseconds()).Info("a server wants rest")
+	if change.Backoff {
+		log.WithField("server-backoff-ms", n.Backoff.Milliseconds()).Info("a server asks for a backoff")
 	}
 	if change.Limit {
 		fields := logrus.Fields{"limited": n.Limited}
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -297,7 +297,7 @@
 	e.meters.Update(meter.ServersSuspect, int64(census.Suspects))
 	e.meters.Update(meter.ServersLimited, int64(census.Limited))
 	e.meters.Update(meter.ServersLeaving, int64(census.Leaving))
-	e.meters.Update(meter.ServersResting, int64(census.Resting))
+	e.meters.Update(meter.ServersBackingOff, int64(census.BackingOff))
 	e.meters.Update(meter.InFlight, int64(census.InFlight))
 	e.meters.Update(meter.ConfigurationNow, int64(view.Version()))
 	e.meters.Update(meter.ConfigurationAge, now.Sub(e.versionSince).Milliseconds())
--- a/soak/check.go
+++ b/soak/check.go
@@ -76,7 +76,7 @@
 	ends       map[string]int
 	thirdAt    map[string]time.Time
 	late       map[string]int
-	needs      needs
+	notices    notices
 	violations []string
 	counts     map[string]int
 }
@@ -112,7 +112,7 @@
 		ends:         make(map[string]int),
 		thirdAt:      make(map[string]time.Time),
 		late:         make(map[string]int),
-		needs:        newNeeds(),
+		notices:      newNotices(),
 		counts:       make(map[string]int),
 	}
 }
@@ -137,7 +137,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.nameOf[address] = instance
-	c.needs.began[instance] = time.Now()
+	c.notices.began[instance] = time.Now()
 }
 
 // quiet says whether nothing that counts was harmed in a time, and counts how often it was
@@ -256,7 +256,7 @@
 	c.checkRepeats(server, id, now)
 	sender := c.sender[id]
 	c.checkDeadly(server, id, now)
-	c.checkNeeds(server, id, now)
+	c.checkNotices(server, id, now)
 	left, leaves := c.leftAt[server]
 	if leaves && now.Sub(left) > leaveBound && c.mustKnow("arrivals after leaving", sender, left, leaveBound, now) {
 		c.violate("server %s got %s from %s %s after it left", server, id, sender, now.Sub(left))
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -112,8 +112,8 @@
 		return y.replaceVersions()
 	case deadlyRequest:
 		y.sendDeadly(f)
-	case limitServer, restServer, leaveInAnswers:
-		return y.ask(y.pick(f.Target), f)
+	case limitServer, backOffServer, leaveInAnswers:
+		return y.constrain(y.pick(f.Target), f)
 	case burst:
 		// Callers look at the time of bursts themselves.
 		time.Sleep(f.For)
--- a/soak/main.go
+++ b/soak/main.go
@@ -21,18 +21,18 @@
 
 // options are the settings of a soak.
 type options struct {
-	Seed      uint64        `default:"1" help:"Seed of the first run."`
-	Seeds     int           `default:"1" help:"Number of runs; each takes the next seed."`
-	Span      time.Duration `default:"25s" help:"Time in which faults begin and end."`
-	Instances int           `default:"8" help:"Entry instances, 1 to 200."`
-	Servers   int           `default:"12" help:"Backend servers, 4 to 500."`
-	Callers   int           `default:"24" help:"Callers, 1 to 2000."`
-	Out       string        `default:"../out/soak" help:"Directory for the logs of each run."`
-	Further   bool          `default:"true" negatable:"" help:"Restart servers under their names, write foreign entries, large configurations over narrow links to the store."`
-	Deadly    bool          `default:"true" negatable:"" help:"Send requests that end the servers which run them."`
-	Needy     bool          `help:"Play servers that ask for less in their answers, beside faults of instances and of the store only."`
-	Before    string        `help:"Commit of an older version, from which all instances start, are replaced in turn by this one, and go back again; there are no faults then."`
-	Show      bool          `help:"Print the plan of each run."`
+	Seed         uint64        `default:"1" help:"Seed of the first run."`
+	Seeds        int           `default:"1" help:"Number of runs; each takes the next seed."`
+	Span         time.Duration `default:"25s" help:"Time in which faults begin and end."`
+	Instances    int           `default:"8" help:"Entry instances, 1 to 200."`
+	Servers      int           `default:"12" help:"Backend servers, 4 to 500."`
+	Callers      int           `default:"24" help:"Callers, 1 to 2000."`
+	Out          string        `default:"../out/soak" help:"Directory for the logs of each run."`
+	Further      bool          `default:"true" negatable:"" help:"Restart servers under their names, write foreign entries, large configurations over narrow links to the store."`
+	Deadly       bool          `default:"true" negatable:"" help:"Send requests that end the servers which run them."`
+	Backpressure bool          `help:"Play servers that ask for less in their answers, beside faults of instances and of the store only."`
+	Before       string        `help:"Commit of an older version, from which all instances start, are replaced in turn by this one, and go back again; there are no faults then."`
+	Show         bool          `help:"Print the plan of each run."`
 }
 
 // Check returns an error that names the first setting that is wrong.
@@ -145,8 +145,8 @@
 	if o.Deadly {
 		plan = withDeadly(plan, seed, o.Span)
 	}
-	if o.Needy {
-		plan = needyPlan(seed, o.Span)
+	if o.Backpressure {
+		plan = backpressurePlan(seed, o.Span)
 	}
 	if o.Before != "" {
 		plan = versionPlan(seed, o.Span)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -132,5 +132,5 @@
 
 // isPlanned says whether a kind is planned work, around which no request may be cut.
 func (k kind) isPlanned() bool {
-	return slices.Contains(plannedKinds, k) || slices.Contains([]kind{largeConfiguration, replaceVersions, limitServer, restServer, leaveInAnswers}, k)
+	return slices.Contains(plannedKinds, k) || slices.Contains([]kind{largeConfiguration, replaceVersions, limitServer, backOffServer, leaveInAnswers}, k)
 }
--- a/soak/yard.go
+++ b/soak/yard.go
@@ -76,8 +76,8 @@
 	*fake.Server
 	proxy *toxiproxy.Proxy
 	gone  bool
-	// asks says that the server asks for less in its answers.
-	asks bool
+	// constrained says that the server asks for less in its answers.
+	constrained bool
 }
 
 func newYard(p programs, out string, instances, servers int, check *checker) (*yard, error) {
--- a/steering.go
+++ b/steering.go
@@ -164,6 +164,6 @@
 	Unclear bool
 	// Leaving says that the server takes no new work any more.
 	Leaving bool
-	// Rest is how long the server wants nothing from this instance, or 0.
-	Rest time.Duration
+	// Backoff is how long the server wants nothing from this instance, or 0.
+	Backoff time.Duration
 }
