--- a/meter/meter.go
+++ b/meter/meter.go
@@ -45,7 +45,7 @@
 	ServersSuspect    = Metric{"servers-suspect", Gauge, nil, "backend servers that are left alone as they did not answer"}
 	ServersLimited    = Metric{"servers-limited", Gauge, nil, "backend servers that name a limit to the requests that they take"}
 	ServersLeaving    = Metric{"servers-leaving", Gauge, nil, "backend servers that have said in answers that they leave"}
-	ServersBackingOff    = Metric{"servers-backing-off", Gauge, nil, "backend servers that want nothing from this instance for now"}
+	ServersBackingOff = Metric{"servers-backing-off", Gauge, nil, "backend servers that want nothing from this instance for now"}
 	ServersEnded      = Metric{"servers-ended", Counter, []string{"service"}, "backend servers seen to end while they had requests"}
 	RequestsHeld      = Metric{"requests-held", Gauge, nil, "requests that are refused as servers end under them"}
 	Connections       = Metric{"connections-opened", Gauge, nil, "connections to servers opened since the start"}
