fleet: log and count refused watches and ignored lists

What could not be told: whether the platform had only dropped its history (a refused watch, then a list that is applied) or answers from an older copy (a list that is older than the rows in use and is ignored without a trace).

Change: counters platform-history-lost and platform-lists-ignored, one line for the first refused watch of a table and one for each ignored list, with the era that the store reports in its header. No decision depends on them.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -120,6 +120,8 @@
 	needsFullValues map[string]bool
 	// failingSince holds, for each table that can't be read, the time of the first failed read.
 	failingSince map[string]time.Time
+	// historyLost holds the tables whose last watch was refused and which have not been listed since.
+	historyLost map[string]bool
 	// crashReportPending is set if there are crashes to report after the pause that follows a report.
 	// crashesReportedAt is when crashes were last reported, and digestSentAt when a digest was last sent.
 	crashReportPending bool
@@ -152,6 +154,7 @@
 		firstReadAt:        make(map[string]time.Time),
 		needsFullValues:    make(map[string]bool),
 		failingSince:       make(map[string]time.Time),
+		historyLost:        make(map[string]bool),
 		silentSince:        make(map[string]time.Time),
 	}
 	c.members.SetSuspectTimeout(suspectTimeout)
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -182,6 +182,7 @@
 	}
 	var invalid []catalog.InvalidRow
 	if m.whole {
+		c.logIgnoredList(m)
 		invalid = c.state.ApplyList(m.table, m.changes, now)
 	} else {
 		_, invalid = c.state.ApplyChanges(m.table, m.changes, now)
@@ -212,6 +213,7 @@
 
 func (c *Control) recordFeedFailure(m readResult, now time.Time) {
 	if errors.Is(m.err, lovageyard.ErrHistoryLost) {
+		c.recordHistoryLost(m)
 		return
 	}
 	c.settings.Metrics.Count(meter.PlatformFailures, m.table, causeOf(m.err))
@@ -226,6 +228,35 @@
 	c.settings.Logger.WithError(m.err).WithField("table", m.table).Warn("platform lost")
 }
 
+// recordHistoryLost counts a refused watch, and logs the first one since the table was last applied.
+func (c *Control) recordHistoryLost(m readResult) {
+	c.settings.Metrics.Count(meter.HistoryLost, m.table)
+	if c.historyLost[m.table] {
+		return
+	}
+	c.historyLost[m.table] = true
+	c.settings.Logger.WithFields(logrus.Fields{
+		"table":   m.table,
+		"version": c.state.Cursor(m.table),
+	}).Warn("platform refused a watch; reading the table again")
+}
+
+// logIgnoredList counts and logs a list that is older than the rows in use.
+func (c *Control) logIgnoredList(m readResult) {
+	known := c.state.Cursor(m.table)
+	if m.changes.To >= known {
+		delete(c.historyLost, m.table)
+		return
+	}
+	c.settings.Metrics.Count(meter.ListsIgnored, m.table)
+	c.settings.Logger.WithFields(logrus.Fields{
+		"table":         m.table,
+		"era":           m.changes.Era,
+		"version":       m.changes.To,
+		"known-version": known,
+	}).Warn("a list of the platform is older than the rows in use and was ignored")
+}
+
 // isUnreadable reports whether a table currently can't be read.
 func (c *Control) isUnreadable(table string) bool {
 	_, failing := c.failingSince[table]
--- a/ports.go
+++ b/ports.go
@@ -52,8 +52,31 @@
 	Writes     []Write     `json:"writes"`
 }
 
+// Position is a point in the history of the platform's store. The store begins a new era when it is
+// restored from an older copy of itself. It then assigns versions again, so that the versions of
+// different eras say nothing about each other. Era 0 means that the store does not report eras.
+type Position struct {
+	Era     int64
+	Version int64
+}
+
+// Before reports whether p is earlier than o.
+func (p Position) Before(o Position) bool {
+	if p.Era != o.Era {
+		return p.Era < o.Era
+	}
+	return p.Version < o.Version
+}
+
+// IsZero reports whether p is the start of the history.
+func (p Position) IsZero() bool {
+	return p == Position{}
+}
+
 // Changes holds the rows of some tables that changed after version After, up to version To.
 type Changes struct {
+	// Era is the era of the platform's store in which the versions were assigned; see Position.
+	Era   int64 `json:"era,omitempty"`
 	After int64 `json:"after"`
 	To    int64 `json:"to"`
 	Rows  []Row `json:"rows"`
@@ -110,6 +133,16 @@
 	Listing(ctx context.Context) (Listing, error)
 }
 
+// Start returns the position after which c has all changes.
+func (c Changes) Start() Position {
+	return Position{Era: c.Era, Version: c.After}
+}
+
+// End returns the position up to which c has all changes.
+func (c Changes) End() Position {
+	return Position{Era: c.Era, Version: c.To}
+}
+
 // Ticker is one subscription to a Timer.
 type Ticker interface {
 	// C delivers the time of each tick. A tick is dropped if the previous one was not yet received.
