--- a/catalog/incarnation_test.go
+++ b/catalog/incarnation_test.go
@@ -83,11 +83,11 @@
 	c.Assert(applied, qt.IsTrue)
 	c.Assert(invalid, qt.HasLen, 1)
 	c.Assert(serverNames(s), qt.DeepEquals, []string{"b"})
-	c.Assert(s.Cursor(lovageyard.TableServers), qt.Equals, int64(12))
+	c.Assert(s.Cursor(lovageyard.TableServers), qt.Equals, at(12))
 	// It is reported once for each version, and passed on to peers.
 	_, invalid = s.ApplyChanges(lovageyard.TableServers, changes(10, 12, undecodableRow("a", 11)), later)
 	c.Assert(invalid, qt.HasLen, 0)
-	c.Assert(s.ChangesSince(lovageyard.TableServers, 10).Rows, qt.HasLen, 2)
+	c.Assert(s.ChangesSince(lovageyard.TableServers, at(10)).Rows, qt.HasLen, 2)
 	// An older valid entry is not used again; a newer one is, without another warm-up.
 	s.ApplyList(lovageyard.TableServers, changes(0, 12, serverRow(c, "a", 3, lovageyard.StateLive), incarnationRow(c, "b", 12, 1, lovageyard.StateLive)), later)
 	c.Assert(serverNames(s), qt.DeepEquals, []string{"b"})
@@ -155,7 +155,7 @@
 			s.ApplyChanges(lovageyard.TableServers, changes(int64(from), int64(to), history[from:to]...), start)
 		}
 		last := int64(len(history))
-		s.ApplyChanges(lovageyard.TableServers, changes(s.Cursor(lovageyard.TableServers), last, history[s.Cursor(lovageyard.TableServers):]...), start)
+		s.ApplyChanges(lovageyard.TableServers, changes(s.Cursor(lovageyard.TableServers).Version, last, history[s.Cursor(lovageyard.TableServers).Version:]...), start)
 		newest := make(map[string]lovageyard.Row)
 		for _, r := range history {
 			newest[r.Key] = r
--- a/catalog/previous.go
+++ b/catalog/previous.go
@@ -33,24 +33,30 @@
 }
 
 // DeltaBase returns the row that a delta to r can be based on: the version before r that a peer has
-// if it has read the table up to version known. It returns false if that version is not kept.
-func (s *State) DeltaBase(r lovageyard.Row, known int64) (lovageyard.Row, bool) {
+// if it has read the table up to a position. It returns false if that version is not kept.
+func (s *State) DeltaBase(r lovageyard.Row, known lovageyard.Position) (lovageyard.Row, bool) {
+	if known.Era != s.cursors[r.Table].Era {
+		return lovageyard.Row{}, false
+	}
 	kept := s.previousValues[r.Table][r.Key]
 	for n := len(kept) - 1; n >= 0; n-- {
-		if kept[n].Version <= known && kept[n].Version < r.Version {
+		if kept[n].Version <= known.Version && kept[n].Version < r.Version {
 			return kept[n], true
 		}
 	}
 	return lovageyard.Row{}, false
 }
 
-// ValueAt returns the value of a row at a version, if that is the current version or one still kept.
-func (s *State) ValueAt(table, key string, version int64) ([]byte, bool) {
-	if r, found := s.rows[table][key]; found && r.Version == version {
+// ValueAt returns the value of a row at a position, if that is the current version or one still kept.
+func (s *State) ValueAt(table, key string, at lovageyard.Position) ([]byte, bool) {
+	if at.Era != s.cursors[table].Era {
+		return nil, false
+	}
+	if r, found := s.rows[table][key]; found && r.Version == at.Version {
 		return r.Value, true
 	}
 	for _, r := range s.previousValues[table][key] {
-		if r.Version == version {
+		if r.Version == at.Version {
 			return r.Value, true
 		}
 	}
--- a/catalog/previous_test.go
+++ b/catalog/previous_test.go
@@ -23,7 +23,7 @@
 	s := catalog.NewState(ignoringDecoder{})
 	put := func(version int64, size int) lovageyard.Row {
 		r := lovageyard.Row{Table: lovageyard.TableOrders, Key: "config", Version: version, Value: bytes.Repeat([]byte{byte(version)}, size)}
-		applied, _ := s.ApplyChanges(r.Table, lovageyard.Changes{After: s.Cursor(r.Table), To: version, Rows: []lovageyard.Row{r}}, time.Time{})
+		applied, _ := s.ApplyChanges(r.Table, lovageyard.Changes{After: s.Cursor(r.Table).Version, To: version, Rows: []lovageyard.Row{r}}, time.Time{})
 		c.Assert(applied, qt.IsTrue)
 		return r
 	}
@@ -34,25 +34,25 @@
 		known int64
 		want  *lovageyard.Row
 	}{{5, nil}, {10, &first}, {19, &first}, {20, &second}, {29, &second}, {30, &second}} {
-		base, found := s.DeltaBase(last, test.known)
+		base, found := s.DeltaBase(last, at(test.known))
 		c.Assert(found, qt.Equals, test.want != nil, qt.Commentf("known to %d", test.known))
 		if found {
 			c.Assert(base, qt.DeepEquals, *test.want)
 		}
 	}
-	value, found := s.ValueAt(lovageyard.TableOrders, "config", 10)
+	value, found := s.ValueAt(lovageyard.TableOrders, "config", at(10))
 	c.Assert(found, qt.IsTrue)
 	c.Assert(value, qt.DeepEquals, first.Value)
-	_, found = s.ValueAt(lovageyard.TableOrders, "config", 11)
+	_, found = s.ValueAt(lovageyard.TableOrders, "config", at(11))
 	c.Assert(found, qt.IsFalse)
 
 	// The oldest values are dropped beyond the limit.
 	for version := int64(40); version < 80; version += 10 {
 		last = put(version, 5<<20)
 	}
-	_, found = s.DeltaBase(last, 50)
+	_, found = s.DeltaBase(last, at(50))
 	c.Assert(found, qt.IsFalse)
-	base, found := s.DeltaBase(last, 60)
+	base, found := s.DeltaBase(last, at(60))
 	c.Assert(found, qt.IsTrue)
 	c.Assert(base.Version, qt.Equals, int64(60))
 }
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -24,8 +24,8 @@
 	// Drained holds the failure domains whose servers receive no requests.
 	Drained   map[string]bool
 	Instances map[string]lovageyard.EntryInstance
-	// Cursors holds the version up to which each table has been read.
-	Cursors map[string]int64
+	// Cursors holds the position up to which each table has been read.
+	Cursors map[string]lovageyard.Position
 	matcher matcher
 	// Accounts looks up the client accounts of the configuration.
 	Accounts *account.Registry
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -21,7 +21,9 @@
 // goroutine applies changes and takes snapshots.
 type State struct {
 	decoder lovageyard.Decoder
-	cursors map[string]int64
+	// cursors holds the position up to which each table has been read. The versions below are those of
+	// the cursor's era, as versions of different eras can't be compared.
+	cursors map[string]lovageyard.Position
 	// lastChanges holds the version of the last change of each table.
 	lastChanges map[string]int64
 	// listVersions holds the version of the last full list of each table. Removals before it may be
@@ -29,6 +31,10 @@
 	listVersions map[string]int64
 	rows         map[string]map[string]lovageyard.Row
 	config       *lovageyard.Configuration
+	// configRow is the row of config. storedConfig is the version of the configuration in the store, which
+	// is lower after the store has lost the one in force.
+	configRow    lovageyard.Row
+	storedConfig uint64
 	// matcher and accounts are built once per configuration and shared by its snapshots.
 	matcher   matcher
 	accounts  *account.Registry
@@ -37,6 +43,12 @@
 	instances map[string]lovageyard.EntryInstance
 	// restoredAt is when the last drain of each failure domain ended.
 	restoredAt map[string]time.Time
+	// drainExpiry is when drains end that the platform's store has lost.
+	drainExpiry map[string]time.Time
+	// ended holds the incarnations of servers that have ended, by server name.
+	ended map[string][]endedIncarnation
+	// outdated holds the entries of a restored store that are not believed, by server name.
+	outdated map[string]outdatedEntry
 	// invalidRows holds the newest version of each invalid row, by table and key.
 	invalidRows map[string]map[string]int64
 	// previousValues holds earlier values of large rows, oldest first, from which deltas for peers
@@ -69,7 +81,7 @@
 func NewState(d lovageyard.Decoder) *State {
 	s := &State{
 		decoder:        d,
-		cursors:        make(map[string]int64),
+		cursors:        make(map[string]lovageyard.Position),
 		lastChanges:    make(map[string]int64),
 		listVersions:   make(map[string]int64),
 		rows:           make(map[string]map[string]lovageyard.Row),
@@ -77,41 +89,55 @@
 		drained:        make(map[string]bool),
 		instances:      make(map[string]lovageyard.EntryInstance),
 		restoredAt:     make(map[string]time.Time),
+		drainExpiry:    make(map[string]time.Time),
+		ended:          make(map[string][]endedIncarnation),
+		outdated:       make(map[string]outdatedEntry),
 		invalidRows:    make(map[string]map[string]int64),
 		previousValues: make(map[string]map[string][]lovageyard.Row),
 	}
 	for _, table := range lovageyard.FollowedTables() {
-		s.rows[table] = make(map[string]lovageyard.Row)
-		s.invalidRows[table] = make(map[string]int64)
-		s.previousValues[table] = make(map[string][]lovageyard.Row)
+		s.forgetVersions(table)
 	}
 	return s
 }
 
-// Cursor returns the version up to which a table has been read, or 0.
-func (s *State) Cursor(table string) int64 {
+// forgetVersions drops the rows of a table and all that is compared by their versions.
+func (s *State) forgetVersions(table string) {
+	s.rows[table] = make(map[string]lovageyard.Row)
+	s.invalidRows[table] = make(map[string]int64)
+	s.previousValues[table] = make(map[string][]lovageyard.Row)
+	delete(s.lastChanges, table)
+	delete(s.listVersions, table)
+}
+
+// Cursor returns the position up to which a table has been read, or the zero Position.
+func (s *State) Cursor(table string) lovageyard.Position {
 	return s.cursors[table]
 }
 
-// LastChange returns the version of the last change of a table, or 0. A peer that has read the
-// table up to it is up to date with this state, although cursors may be higher: they also grow
-// with the changes of other tables.
-func (s *State) LastChange(table string) int64 {
-	return s.lastChanges[table]
+// LastChange returns the position of the last change of a table. A peer that has read the table up
+// to it is up to date with this state, although cursors may be higher: they also grow with the
+// changes of other tables.
+func (s *State) LastChange(table string) lovageyard.Position {
+	return lovageyard.Position{Era: s.cursors[table].Era, Version: s.lastChanges[table]}
 }
 
 // Ready reports whether a configuration and the tables of servers and of instances, which share the
 // servers' limits, have been read.
 func (s *State) Ready() bool {
-	return s.config != nil && s.cursors[lovageyard.TableServers] > 0 && s.cursors[lovageyard.TableInstances] > 0
+	return s.config != nil && !s.cursors[lovageyard.TableServers].IsZero() && !s.cursors[lovageyard.TableInstances].IsZero()
 }
 
 // ApplyList applies a full list of a table and removes the rows that it lacks. A list older than
 // the cursor is ignored. It returns the rows that could not be decoded.
 func (s *State) ApplyList(table string, list lovageyard.Changes, now time.Time) []InvalidRow {
-	if list.To < s.cursors[table] {
+	cursor := s.cursors[table]
+	if list.End().Before(cursor) {
 		return nil
 	}
+	if list.Era > cursor.Era && !cursor.IsZero() {
+		return s.applyRestoredList(table, list, now)
+	}
 	present := make(map[string]bool)
 	for _, r := range list.Rows {
 		present[r.Key] = true
@@ -123,23 +149,32 @@
 			invalid = append(invalid, s.applyRows([]lovageyard.Row{removed}, now)...)
 		}
 	}
-	s.cursors[table] = list.To
+	s.setListed(table, list)
+	return invalid
+}
+
+// setListed records that a full list of a table has been applied.
+func (s *State) setListed(table string, list lovageyard.Changes) {
+	s.cursors[table] = list.End()
 	s.listVersions[table] = list.To
 	s.cached = nil
-	return invalid
 }
 
 // ApplyChanges applies the changes of a table, or a full list if they begin at version 0. It
-// applies nothing and returns false if changes between the cursor and c.After are missing.
+// applies nothing and returns false if changes between the cursor and c.After are missing, or if c
+// is from another era than the cursor and not a full list of a later one.
 func (s *State) ApplyChanges(table string, c lovageyard.Changes, now time.Time) (bool, []InvalidRow) {
-	if c.After > s.cursors[table] {
-		return false, nil
-	}
 	if c.After == 0 && c.To > 0 {
 		return true, s.ApplyList(table, c, now)
 	}
+	cursor := s.cursors[table]
+	if c.Era != cursor.Era || c.After > cursor.Version {
+		return false, nil
+	}
 	invalid := s.applyRows(c.Rows, now)
-	s.cursors[table] = max(s.cursors[table], c.To)
+	if cursor.Before(c.End()) {
+		s.cursors[table] = c.End()
+	}
 	return true, invalid
 }
 
@@ -159,9 +194,14 @@
 	}
 }
 
-// HasRow reports whether a row, or a newer version of it, has been applied. Invalid entries of
-// servers and instances count as applied.
-func (s *State) HasRow(r lovageyard.Row) bool {
+// HasRow reports whether a row of an era, or a newer version of it in the same era, has been applied.
+// Invalid entries of servers and instances count as applied.
+func (s *State) HasRow(era int64, r lovageyard.Row) bool {
+	return era == s.cursors[r.Table].Era && s.hasVersion(r)
+}
+
+// hasVersion reports whether a row of the cursor's era, or a newer version of it, has been applied.
+func (s *State) hasVersion(r lovageyard.Row) bool {
 	known, found := s.rows[r.Table][r.Key]
 	return found && known.Version >= r.Version
 }
@@ -169,7 +209,7 @@
 func (s *State) applyRows(rows []lovageyard.Row, now time.Time) []InvalidRow {
 	var invalid []InvalidRow
 	for _, r := range rows {
-		if s.HasRow(r) {
+		if s.hasVersion(r) {
 			continue
 		}
 		s.lastChanges[r.Table] = max(s.lastChanges[r.Table], r.Version)
@@ -184,6 +224,9 @@
 		s.keepPrevious(r)
 		s.rows[r.Table][r.Key] = r
 		s.apply(record, now)
+		if record.Configuration != nil {
+			s.recordStoredConfiguration(record.Configuration, r)
+		}
 	}
 	return invalid
 }
@@ -217,6 +260,7 @@
 	if s.drained[domain] && r.Removed {
 		s.restoredAt[domain] = now
 	}
+	delete(s.drainExpiry, domain)
 	if r.Removed {
 		delete(s.drained, domain)
 		return
@@ -233,6 +277,7 @@
 	warmUp := r.Server.ColdFor.Std()
 	if known == nil || known.Incarnation != r.Server.Incarnation {
 		// An entry with a start time that follows entries without one comes from a restarted server.
+		s.recordReplaced(known, now)
 		known = &server{}
 		s.servers[r.Key] = known
 		warmUp = max(warmUp, s.joinWarmUp(r.Server.Service))
@@ -253,7 +298,7 @@
 // joinWarmUp returns the minimum warm-up time of a server that has just joined, whatever its entry
 // says. Servers in the first list of the table were running before, so they need none.
 func (s *State) joinWarmUp(service string) time.Duration {
-	if s.cursors[lovageyard.TableServers] == 0 || s.config == nil {
+	if s.cursors[lovageyard.TableServers].IsZero() || s.config == nil {
 		return 0
 	}
 	return s.config.Services[service].ColdFor
@@ -268,33 +313,47 @@
 		known.expiresAt = now.Add(expiryGrace)
 		return
 	}
+	s.dropServer(known, now)
+}
+
+// dropServer removes a server whose entry is gone.
+func (s *State) dropServer(known *server, now time.Time) {
+	s.recordEnded(known, now)
 	delete(s.servers, known.Name)
 }
 
-// Expire drops the servers whose entries were removed during an outage and did not come back
-// within the grace period. It reports whether it dropped any.
+// Expire drops the servers and drains that the platform's store lost and that did not come back within
+// their grace periods. It reports whether it dropped any.
 func (s *State) Expire(now time.Time) bool {
-	changed := false
-	for name, known := range s.servers {
+	changed := s.expireDrains(now)
+	for _, known := range s.servers {
 		if !known.expiresAt.IsZero() && !now.Before(known.expiresAt) {
-			delete(s.servers, name)
-			s.cached = nil
+			s.dropServer(known, now)
 			changed = true
 		}
 	}
+	s.forgetEnded(now)
+	if s.adoptOutdated(now) {
+		changed = true
+	}
+	if changed {
+		s.cached = nil
+	}
 	return changed
 }
 
-// ChangesSince returns the changes of a table after a version, for a lagging peer. If removals
-// since that version may be unknown, it returns the whole table, as changes after version 0.
-func (s *State) ChangesSince(table string, after int64) lovageyard.Changes {
-	whole := after < s.listVersions[table]
-	c := lovageyard.Changes{After: after, To: s.cursors[table]}
+// ChangesSince returns the changes of a table after a position, for a lagging peer. If the position is
+// from another era, or removals since then may be unknown, it returns the whole table, as changes
+// after version 0.
+func (s *State) ChangesSince(table string, after lovageyard.Position) lovageyard.Changes {
+	cursor := s.cursors[table]
+	whole := after.Era != cursor.Era || after.Version < s.listVersions[table]
+	c := lovageyard.Changes{Era: cursor.Era, After: after.Version, To: cursor.Version}
 	if whole {
 		c.After = 0
 	}
 	for _, r := range s.rows[table] {
-		if whole && !r.Deleted || !whole && r.Version > after {
+		if whole && !r.Deleted || !whole && r.Version > after.Version {
 			c.Rows = append(c.Rows, r)
 		}
 	}
--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -74,6 +74,11 @@
 	})
 }
 
+// at returns the position of a version in a store that does not report eras.
+func at(version int64) lovageyard.Position {
+	return lovageyard.Position{Version: version}
+}
+
 func changes(after, to int64, rows ...lovageyard.Row) lovageyard.Changes {
 	return lovageyard.Changes{After: after, To: to, Rows: rows}
 }
@@ -137,7 +142,7 @@
 	applied, _ := s.ApplyChanges(lovageyard.TableServers, changes(12, 14, removedRow(lovageyard.TableServers, "a", 13)), start)
 	c.Assert(applied, qt.IsFalse)
 	c.Assert(serverNames(s), qt.DeepEquals, []string{"a", "b"})
-	c.Assert(s.Cursor(lovageyard.TableServers), qt.Equals, int64(10))
+	c.Assert(s.Cursor(lovageyard.TableServers), qt.Equals, at(10))
 }
 
 func TestMalformedConfigurationKeepsTheLastValidOne(t *testing.T) {
@@ -226,7 +231,7 @@
 		c.Assert(applied, qt.IsTrue)
 	}
 	c.Assert(serverNames(peer), qt.DeepEquals, []string{"b"})
-	c.Assert(peer.Cursor(lovageyard.TableServers), qt.Equals, int64(20))
+	c.Assert(peer.Cursor(lovageyard.TableServers), qt.Equals, at(20))
 }
 
 func TestLaggingPeerGetsOnlyTheChanges(t *testing.T) {
@@ -268,9 +273,9 @@
 
 	// A full list without rows changes the cursor, so it needs a new snapshot.
 	empty := catalog.NewState(jsonDecoder{})
-	c.Assert(empty.Snapshot().Cursors[lovageyard.TableInstances], qt.Equals, int64(0))
+	c.Assert(empty.Snapshot().Cursors[lovageyard.TableInstances], qt.Equals, at(0))
 	empty.ApplyList(lovageyard.TableInstances, changes(0, 5), start)
-	c.Assert(empty.Snapshot().Cursors[lovageyard.TableInstances], qt.Equals, int64(5))
+	c.Assert(empty.Snapshot().Cursors[lovageyard.TableInstances], qt.Equals, at(5))
 }
 
 // The longest prefix must win also among thousands of routes.
--- a/charge/store.go
+++ b/charge/store.go
@@ -294,7 +294,7 @@
 // List returns the claims that are in a state at the given time, or all claims for the empty state. Rows that
 // cannot be decoded are skipped.
 func List(ctx context.Context, table lovageyard.Table, state State, now time.Time) ([]Claim, error) {
-	changes, err := table.Changes(ctx, []string{lovageyard.TableClaims}, 0)
+	changes, err := table.Changes(ctx, []string{lovageyard.TableClaims}, lovageyard.Position{})
 	if err != nil {
 		return nil, err
 	}
--- a/configuration/state.go
+++ b/configuration/state.go
@@ -20,9 +20,11 @@
 	}
 }
 
-// State is one instance's replica of the configuration. Its version never decreases. It is not
-// safe for concurrent use.
+// State is one instance's replica of the configuration. Its version never decreases, unless the
+// platform's store is restored from an older copy and begins a new era. It is not safe for
+// concurrent use.
 type State struct {
+	era     int64
 	version int64
 	// lastFullRead is the version of the last full read, that is, of all rows. Rows that were
 	// deleted before it may be missing from rows.
@@ -55,10 +57,24 @@
 	return s.version
 }
 
+// Position returns the position up to which the state includes every change.
+func (s *State) Position() lovageyard.Position {
+	return lovageyard.Position{Era: s.era, Version: s.version}
+}
+
 // Apply applies changes and reports whether the version advanced. Changes that start after the
 // state's version would leave a gap, and are an error. Changes after version 0 are a full read:
-// rows that are missing from them have been deleted.
+// rows that are missing from them have been deleted. Changes of a later era have to be a full read,
+// and those of an earlier one are ignored.
 func (s *State) Apply(c lovageyard.Changes) (bool, error) {
+	switch {
+	case c.Era < s.era:
+		return false, nil
+	case c.Era > s.era && c.After != 0:
+		return false, errors.Errorf("changes of era %d are no full read", c.Era)
+	case c.Era > s.era:
+		s.startEra(c.Era)
+	}
 	if c.After > s.version {
 		return false, errors.Errorf("changes after version %d leave a gap after version %d", c.After, s.version)
 	}
@@ -81,6 +97,15 @@
 	return true, nil
 }
 
+// startEra drops all rows, as versions of different eras can't be compared.
+func (s *State) startEra(era int64) {
+	s.era = era
+	s.version = 0
+	s.lastFullRead = 0
+	clear(s.rows)
+	clear(s.decoded)
+}
+
 // removeAbsent marks as deleted the rows that are missing from a full read at a version.
 func (s *State) removeAbsent(present map[rowID]bool, version int64) {
 	for k, row := range s.rows {
@@ -90,13 +115,14 @@
 	}
 }
 
-// Since returns the changes after a version, ordered by version. If deletions since that version
-// may be unknown, it returns all rows as changes after version 0.
-func (s *State) Since(after int64) lovageyard.Changes {
-	if after < s.lastFullRead {
+// Since returns the changes after a position, ordered by version. If the position is of another era, or
+// deletions since then may be unknown, it returns all rows as changes after version 0.
+func (s *State) Since(p lovageyard.Position) lovageyard.Changes {
+	after := p.Version
+	if p.Era != s.era || after < s.lastFullRead {
 		after = 0
 	}
-	c := lovageyard.Changes{After: after, To: s.version}
+	c := lovageyard.Changes{Era: s.era, After: after, To: s.version}
 	if after >= s.version {
 		c.After = s.version
 		return c
--- a/configuration/state_test.go
+++ b/configuration/state_test.go
@@ -62,9 +62,9 @@
 	}
 	for at := int64(0); at <= 20; at++ {
 		replica := NewState()
-		_, err := replica.Apply(lovageyard.Changes{To: at, Rows: source.Since(0).Rows})
+		_, err := replica.Apply(lovageyard.Changes{To: at, Rows: source.Since(lovageyard.Position{}).Rows})
 		c.Assert(err, qt.IsNil)
-		_, err = replica.Apply(source.Since(at))
+		_, err = replica.Apply(source.Since(lovageyard.Position{Version: at}))
 		c.Assert(err, qt.IsNil)
 		c.Assert(replica.Classes(), qt.DeepEquals, source.Classes())
 		c.Assert(replica.Version(), qt.Equals, int64(20))
@@ -120,8 +120,32 @@
 	fresh := NewState()
 	_, err = fresh.Apply(lovageyard.Changes{To: 9, Rows: []lovageyard.Row{classRow("b", 5, false)}})
 	c.Assert(err, qt.IsNil)
-	_, err = peer.Apply(fresh.Since(peer.Version()))
+	_, err = peer.Apply(fresh.Since(peer.Position()))
 	c.Assert(err, qt.IsNil)
 	c.Assert(peer.Classes(), qt.DeepEquals, []lovageyard.Class{{Name: "b"}})
 	c.Assert(peer.Version(), qt.Equals, int64(9))
 }
+
+// A store that was restored from an older copy assigns versions again.
+func TestChangesAfterARestoreAreApplied(t *testing.T) {
+	c := qt.New(t)
+	row := func(version int64, value string) lovageyard.Row {
+		return lovageyard.Row{Table: lovageyard.TableClasses, Key: "a", Version: version, Value: []byte(value)}
+	}
+	s := NewState()
+	_, err := s.Apply(lovageyard.Changes{Era: 1, To: 9, Rows: []lovageyard.Row{row(9, "before")}})
+	c.Assert(err, qt.IsNil)
+	_, err = s.Apply(lovageyard.Changes{Era: 2, After: 9, To: 10, Rows: []lovageyard.Row{row(10, "gap")}})
+	c.Assert(err, qt.ErrorMatches, ".*no full read.*")
+	advanced, err := s.Apply(lovageyard.Changes{Era: 2, To: 8, Rows: []lovageyard.Row{row(8, "after")}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(advanced, qt.IsTrue)
+	late, err := s.Apply(lovageyard.Changes{Era: 1, To: 20, Rows: []lovageyard.Row{row(20, "late")}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(late, qt.IsFalse)
+	known, _ := s.Row(lovageyard.TableClasses, "a")
+	c.Assert(string(known.Value), qt.Equals, "after")
+	whole := s.Since(lovageyard.Position{Era: 1, Version: 20})
+	c.Assert(whole.After, qt.Equals, int64(0))
+	c.Assert(whole.Rows, qt.HasLen, 1)
+}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -90,7 +90,7 @@
 	return nil
 }
 
-func (p instancePorts) Changes(ctx context.Context, tables []string, after int64) (lovageyard.Changes, error) {
+func (p instancePorts) Changes(ctx context.Context, tables []string, after lovageyard.Position) (lovageyard.Changes, error) {
 	if err := p.unreachable(); err != nil {
 		return lovageyard.Changes{}, err
 	}
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -88,6 +89,7 @@
 		Members:       c.wireMembers(),
 		Marks:         c.wireMarks(),
 		Version:       c.config.Version(),
+		Era:           c.config.Position().Era,
 		WantApplied:   c.wantsApplied(),
 		BlocksVersion: c.blocksVersion,
 		WantBlocks:    c.newestBlocksVersion > c.blocksVersion,
@@ -247,8 +249,8 @@
 	if r.GetWantBlocks() && r.GetBlocksVersion() < c.blocksVersion {
 		reply.Blocks = c.compressedBlocks
 	}
-	if r.GetVersion() < c.config.Version() {
-		reply.Changes = peer.FromChanges(c.config.Since(r.GetVersion()))
+	if known := c.positionOf(r); known.Before(c.config.Position()) {
+		reply.Changes = peer.FromChanges(c.config.Since(known))
 	}
 	if r.GetWantApplied() {
 		reply.Applied = c.wireApplied()
@@ -260,6 +262,12 @@
 	m.reply <- reply
 }
 
+// positionOf returns the position of the configuration at a caller. One of an older version does not state its
+// era, and compares versions without.
+func (c *Control) positionOf(r *wire.ExchangeRequest) lovageyard.Position {
+	return lovageyard.Position{Era: cmp.Or(r.GetEra(), c.config.Position().Era), Version: r.GetVersion()}
+}
+
 func (c *Control) wireApplied() []*wire.Applied {
 	var out []*wire.Applied
 	for name, cs := range c.classes {
--- a/control/platform.go
+++ b/control/platform.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/block"
@@ -42,7 +43,7 @@
 }
 
 func (c *Control) poll() {
-	after := c.config.Version()
+	after := c.config.Position()
 	c.inbox.Call("poll", func(ctx context.Context) message {
 		changes, err := c.settings.Table.Changes(ctx, configuration.Tables(), after)
 		return pollResult{changes: changes, err: err}
@@ -65,6 +66,7 @@
 
 // applyChanges applies configuration changes from the platform or a peer.
 func (c *Control) applyChanges(changes lovageyard.Changes) {
+	era := c.config.Position().Era
 	advanced, err := c.config.Apply(changes)
 	if err != nil {
 		c.settings.Logger.WithError(err).Debug("configuration changes rejected")
@@ -73,6 +75,9 @@
 	if !advanced {
 		return
 	}
+	if era != c.config.Position().Era {
+		c.settings.Logger.WithFields(logrus.Fields{"era": changes.Era, "version": changes.To}).Warn("platform restored from an older copy")
+	}
 	if len(changes.Rows) > 0 {
 		c.index = class.NewIndex(c.config.Classes())
 		c.updateClasses()
--- a/fleet/age.go
+++ b/fleet/age.go
@@ -14,10 +14,10 @@
 // unknownAge stands for an unknown age of a change, in milliseconds.
 const unknownAge = -1
 
-// hasNewRows reports whether any of the rows has not been applied yet.
-func (c *Control) hasNewRows(rows []lovageyard.Row) bool {
-	for _, r := range rows {
-		if !c.state.HasRow(r) {
+// hasNewRows reports whether any of the changed rows has not been applied yet.
+func (c *Control) hasNewRows(changes lovageyard.Changes) bool {
+	for _, r := range changes.Rows {
+		if !c.state.HasRow(changes.Era, r) {
 			return true
 		}
 	}
--- a/fleet/confirm.go
+++ b/fleet/confirm.go
@@ -61,7 +61,13 @@
 
 // recordConfirmation records a peer's confirmation, if all changes that the peer had have been applied here.
 func (c *Control) recordConfirmation(confirmation *wire.Confirmation, requestedAt time.Duration) {
-	if confirmation == nil || c.state.Cursor(lovageyard.TableOrders) < confirmation.GetVersion() {
+	cursor := c.state.Cursor(lovageyard.TableOrders)
+	switch {
+	case confirmation == nil:
+		return
+	case cursor.Era != confirmation.GetEra() || cursor.Version < confirmation.GetVersion():
+		return
+	case c.state.ConfigurationVersion() < confirmation.GetConfiguration():
 		return
 	}
 	c.confirmations.peerReports = append(c.confirmations.peerReports, freshness.PeerReport{
@@ -95,9 +101,12 @@
 	if age == freshness.Unknown {
 		return nil
 	}
+	last := c.state.LastChange(lovageyard.TableOrders)
 	return &wire.Confirmation{
-		Version: c.state.LastChange(lovageyard.TableOrders),
-		AgeMs:   (age + time.Millisecond - 1).Milliseconds(),
-		HeldMs:  (now - receivedAt).Milliseconds(),
+		Era:           last.Era,
+		Version:       last.Version,
+		Configuration: c.state.ConfigurationVersion(),
+		AgeMs:         (age + time.Millisecond - 1).Milliseconds(),
+		HeldMs:        (now - receivedAt).Milliseconds(),
 	}
 }
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -247,7 +247,7 @@
 		c.self.Stale = stale
 		c.dirty = true
 	}
-	c.self.Version = c.state.Cursor(lovageyard.TableOrders)
+	c.self.Version = c.state.Cursor(lovageyard.TableOrders).Version
 	c.members.Observe(c.self, now)
 }
 
@@ -397,7 +397,7 @@
 	write := lovageyard.Write{Table: lovageyard.TableInstances, Key: self.Name, Value: value}
 	for attempt := 0; c.inbox.Context().Err() == nil; attempt++ {
 		view := c.View()
-		if view.Cursors[lovageyard.TableInstances] == 0 {
+		if view.Cursors[lovageyard.TableInstances].IsZero() {
 			c.sleep(relayCheckInterval)
 			continue
 		}
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -46,24 +46,24 @@
 
 // followTable reads and watches one table until the loop stops.
 func (c *Control) followTable(table string) {
-	cursor := int64(0)
+	var cursor lovageyard.Position
 	backoff := minBackoff
 	wait := c.watchWaitOf(table)
 	for c.awaitWatching() {
-		if cursor > 0 && c.isSuppressed(table) {
+		if !cursor.IsZero() && c.isSuppressed(table) {
 			c.sleep(relayCheckInterval)
 			continue
 		}
-		if cursor > 0 {
+		if applied := c.View().Cursors[table]; !cursor.IsZero() && cursor.Before(applied) {
 			// Relays may have sent newer changes.
-			cursor = max(cursor, c.View().Cursors[table])
+			cursor = applied
 		}
 		result := c.readTable(table, cursor, wait)
 		if errors.Is(result.err, errWatchCancelled) {
 			wait = 0
 			continue
 		}
-		result.applied = make(chan int64, 1)
+		result.applied = make(chan lovageyard.Position, 1)
 		if !c.inbox.Post(result) {
 			return
 		}
@@ -81,7 +81,7 @@
 		// Calls that do not wait detect the end of an outage quickly.
 		wait = 0
 		if errors.Is(result.err, lovageyard.ErrHistoryLost) {
-			cursor = 0
+			cursor = lovageyard.Position{}
 			c.sleep(coalesceInterval)
 			continue
 		}
@@ -130,8 +130,8 @@
 }
 
 // readTable makes one call to the platform. It lists the table if the cursor is 0, and watches it otherwise.
-func (c *Control) readTable(table string, cursor int64, wait time.Duration) readResult {
-	m := readResult{table: table, whole: cursor == 0, startedAt: c.settings.Timer.Elapsed()}
+func (c *Control) readTable(table string, cursor lovageyard.Position, wait time.Duration) readResult {
+	m := readResult{table: table, whole: cursor.IsZero(), startedAt: c.settings.Timer.Elapsed()}
 	if m.whole {
 		m.changes, m.err = c.settings.Feed.Rows(c.inbox.Context(), table)
 	} else {
@@ -142,7 +142,7 @@
 }
 
 // watchTable calls the feed for the changes of a table. Only watches that wait are cancelled with others.
-func (c *Control) watchTable(table string, cursor int64, wait time.Duration) (lovageyard.Changes, error) {
+func (c *Control) watchTable(table string, cursor lovageyard.Position, wait time.Duration) (lovageyard.Changes, error) {
 	if wait == 0 {
 		return c.settings.Feed.Watch(c.inbox.Context(), table, cursor, wait)
 	}
@@ -166,7 +166,7 @@
 	startedAt  time.Duration
 	finishedAt time.Duration
 	// applied receives the cursor of the table after the result has been applied.
-	applied chan int64
+	applied chan lovageyard.Position
 }
 
 func (m readResult) Apply(c *Control) {
@@ -177,17 +177,26 @@
 		m.applied <- c.state.Cursor(m.table)
 		return
 	}
-	if !m.whole && c.hasNewRows(m.changes.Rows) {
+	cursor := c.state.Cursor(m.table)
+	if m.changes.Era < cursor.Era || m.whole && m.changes.End().Before(cursor) {
+		c.recordOutdatedRead(m, cursor)
+	}
+	if m.changes.Era < cursor.Era {
+		m.applied <- cursor
+		return
+	}
+	delete(c.historyLost, m.table)
+	if !m.whole && c.hasNewRows(m.changes) {
 		c.recordChangeAge(m.table, 0, now)
 	}
 	var invalid []catalog.InvalidRow
 	if m.whole {
-		c.logIgnoredList(m)
 		invalid = c.state.ApplyList(m.table, m.changes, now)
 	} else {
 		_, invalid = c.state.ApplyChanges(m.table, m.changes, now)
 	}
 	c.logInvalidRows(invalid)
+	c.recordEra(m.table, cursor)
 	c.recordFeedSuccess(m.table, now)
 	c.recordRead(m)
 	if m.whole || len(m.changes.Rows) > 0 {
@@ -235,26 +244,25 @@
 		return
 	}
 	c.historyLost[m.table] = true
-	c.settings.Logger.WithFields(logrus.Fields{
+	cursor := c.state.Cursor(m.table)
+	c.settings.Logger.WithError(m.err).WithFields(logrus.Fields{
 		"table":   m.table,
-		"version": c.state.Cursor(m.table),
+		"era":     cursor.Era,
+		"version": cursor.Version,
 	}).Warn("platform refused a watch; reading the table again")
 }
 
-// logIgnoredList counts and logs a list that is older than the rows in use.
-func (c *Control) logIgnoredList(m readResult) {
-	known := c.state.Cursor(m.table)
-	if m.changes.To >= known {
-		delete(c.historyLost, m.table)
-		return
-	}
-	c.settings.Metrics.Count(meter.ListsIgnored, m.table)
+// recordOutdatedRead counts and logs a read that is older than the rows in use. Its answer may have been
+// overtaken by a peer's rows, or come from before a restore of the platform's store.
+func (c *Control) recordOutdatedRead(m readResult, known lovageyard.Position) {
+	c.settings.Metrics.Count(meter.OutdatedReads, m.table)
 	c.settings.Logger.WithFields(logrus.Fields{
 		"table":         m.table,
 		"era":           m.changes.Era,
 		"version":       m.changes.To,
-		"known-version": known,
-	}).Warn("a list of the platform is older than the rows in use and was ignored")
+		"known-era":     known.Era,
+		"known-version": known.Version,
+	}).Info("a read of the platform is older than the rows in use and was ignored")
 }
 
 // isUnreadable reports whether a table currently can't be read.
@@ -293,7 +301,7 @@
 	for _, m := range c.members.Members() {
 		isMember[m.Name] = true
 	}
-	for _, r := range c.state.ChangesSince(lovageyard.TableInstances, 0).Rows {
+	for _, r := range c.state.ChangesSince(lovageyard.TableInstances, lovageyard.Position{}).Rows {
 		if r.Deleted || isMember[r.Key] {
 			delete(c.silentSince, r.Key)
 			continue
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -101,7 +101,7 @@
 	return lovageyard.Changes{}, ctx.Err()
 }
 
-func (f silentFeed) Watch(ctx context.Context, table string, _ int64, _ time.Duration) (lovageyard.Changes, error) {
+func (f silentFeed) Watch(ctx context.Context, table string, _ lovageyard.Position, _ time.Duration) (lovageyard.Changes, error) {
 	return f.Rows(ctx, table)
 }
 
@@ -111,6 +111,11 @@
 	return g.startOn(name, incarnation, client, client, seeds...)
 }
 
+// client returns a client of the store.
+func (g *group) client() *platform.Store {
+	return platform.NewStore(g.address, discardLogger())
+}
+
 func discardLogger() *logrus.Logger {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
--- a/fleet/pause_test.go
+++ b/fleet/pause_test.go
@@ -24,7 +24,7 @@
 	return lovageyard.Changes{To: 1}, nil
 }
 
-func (f blockingFeed) Watch(ctx context.Context, table string, _ int64, _ time.Duration) (lovageyard.Changes, error) {
+func (f blockingFeed) Watch(ctx context.Context, table string, _ lovageyard.Position, _ time.Duration) (lovageyard.Changes, error) {
 	f.watched <- table
 	var released chan lovageyard.Changes
 	if table == lovageyard.TableOrders {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -29,6 +29,8 @@
 type relayState struct {
 	// healthy is set if the last call was answered and the relay can read the platform.
 	healthy bool
+	// era is that of the relay's orders, as of its last answer.
+	era int64
 }
 
 // relayNames returns the names of the relays that instances of the own failure domain follow.
@@ -141,19 +143,17 @@
 		return
 	}
 	before := r.healthy
-	r.healthy = m.err == nil && !m.reply.GetStale()
-	if before != r.healthy {
-		c.settings.Logger.WithField("relay", m.address).WithField("sound", r.healthy).Info("relay health changed")
-	}
 	if m.err != nil {
 		c.recordPeerFailure(m.address, m.err)
 	} else {
 		now := c.settings.Timer.Now()
+		r.era = m.reply.GetEra()
 		c.observe(m.reply.GetFrom(), m.reply.GetPulses(), now)
-		for _, t := range m.reply.GetChanges() {
-			c.applyChanges(t, now)
-		}
-		c.recordConfirmation(m.reply.GetConfirmation(), m.requestedAt)
+		c.applyReply(m.reply, m.requestedAt, now)
+	}
+	r.healthy = m.err == nil && !m.reply.GetStale() && r.era >= c.state.Cursor(lovageyard.TableOrders).Era
+	if before != r.healthy {
+		c.settings.Logger.WithField("relay", m.address).WithField("sound", r.healthy).Info("relay health changed")
 	}
 	if r.healthy {
 		for _, table := range lovageyard.FollowedTables() {
@@ -181,7 +181,7 @@
 	for _, w := range c.waiters {
 		changes := c.changesFor(w.request)
 		confirmed := w.request.GetConfirm() && c.confirmations.readCount > w.readCount
-		if len(changes) == 0 && now.Before(w.deadline) && !c.isPlatformUnavailable() && !confirmed {
+		if c.mayWait(w.request, changes) && now.Before(w.deadline) && !confirmed {
 			kept = append(kept, w)
 			continue
 		}
@@ -190,6 +190,11 @@
 	c.waiters = kept
 }
 
+// mayWait reports whether there is nothing to tell the sender of a request yet.
+func (c *Control) mayWait(r *wire.ShareRequest, changes []*wire.TableChanges) bool {
+	return len(changes) == 0 && !c.isPlatformUnavailable() && !c.isInEarlierEra(r) && !c.lacksLostConfiguration(r)
+}
+
 // isPlatformUnavailable reports whether this instance currently can't read a table of the platform, or has
 // not read one yet.
 func (c *Control) isPlatformUnavailable() bool {
@@ -200,8 +205,12 @@
 	reply := &wire.ShareReply{
 		From:         peer.FromMember(c.self),
 		Changes:      changes,
-		Stale:        c.isPlatformUnavailable() || !c.watchesPlatform.Load(),
+		Stale:        c.isPlatformUnavailable() || !c.watchesPlatform.Load() || c.isInEarlierEra(m.request),
 		Confirmation: c.confirmation(m.receivedAt),
+		Era:          c.state.Cursor(lovageyard.TableOrders).Era,
+	}
+	if c.lacksLostConfiguration(m.request) {
+		reply.Configuration = c.lostConfiguration()
 	}
 	if !m.request.GetConfirm() || len(changes) > 0 {
 		// Replies that only confirm are sent each second; heartbeats of others spread by gossip anyway.
@@ -226,14 +235,15 @@
 func (c *Control) changesFor(r *wire.ShareRequest) []*wire.TableChanges {
 	var out []*wire.TableChanges
 	for _, cursor := range r.GetCursors() {
-		if c.state.Cursor(cursor.GetTable()) <= cursor.GetVersion() {
+		have := c.positionOf(r, cursor)
+		if !have.Before(c.state.Cursor(cursor.GetTable())) {
 			continue
 		}
-		changes := c.state.ChangesSince(cursor.GetTable(), cursor.GetVersion())
+		changes := c.state.ChangesSince(cursor.GetTable(), have)
 		if len(changes.Rows) == 0 && changes.After > 0 {
 			continue
 		}
-		encoded, err := c.encoder.EncodeTable(cursor.GetTable(), changes, c.baseLookup(cursor), r.GetReads())
+		encoded, err := c.encoder.EncodeTable(cursor.GetTable(), changes, c.baseLookup(cursor, have), r.GetReads())
 		if err != nil {
 			c.settings.Logger.WithError(err).Error("failed to encode rows for a peer")
 			continue
@@ -244,10 +254,19 @@
 	return out
 }
 
+// positionOf returns the position of a cursor in a request. A peer of an older version compares versions
+// without their eras.
+func (c *Control) positionOf(r *wire.ShareRequest, cursor *wire.Cursor) lovageyard.Position {
+	if !r.GetEras() {
+		return lovageyard.Position{Era: c.state.Cursor(cursor.GetTable()).Era, Version: cursor.GetVersion()}
+	}
+	return lovageyard.Position{Era: cursor.GetEra(), Version: cursor.GetVersion()}
+}
+
 // baseLookup returns the lookup of the rows that a peer has at its cursor, as bases for deltas.
-func (c *Control) baseLookup(cursor *wire.Cursor) peer.BaseLookup {
+func (c *Control) baseLookup(cursor *wire.Cursor, have lovageyard.Position) peer.BaseLookup {
 	if cursor.GetWhole() {
 		return peer.NoBase
 	}
-	return func(r lovageyard.Row) (lovageyard.Row, bool) { return c.state.DeltaBase(r, cursor.GetVersion()) }
+	return func(r lovageyard.Row) (lovageyard.Row, bool) { return c.state.DeltaBase(r, have) }
 }
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -3,10 +3,15 @@
 import (
 	"fmt"
 	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
 	"lovageyard.example/lovageyard/fleet"
+	"lovageyard.example/lovageyard/peer/wire"
+	"lovageyard.example/lovageyard/platform/fake"
 )
 
 // putVersion writes a configuration that has only a version and a service, as the operator does.
@@ -94,3 +99,128 @@
 		g.until("server a leaving", func() bool { return isLeaving(control, "a") })
 	}
 }
+
+// While the store is away, versions of the new era pass those that the instances have read. A watch after
+// them is not refused, but what was written below them would be missed.
+func TestVersionsThatPassTheCursorAreReadFromTheBeginning(t *testing.T) {
+	g := newGroup(t)
+	g.putServer("a", lovageyard.StateLive)
+	controls := g.startFleet()
+	copied := g.store.Checkpoint()
+	g.putVersion(2)
+	for _, control := range controls {
+		g.until("version 2", func() bool { return version(control) == 2 })
+	}
+	g.store.SetFaults(fake.StoreFaults{Status: 503})
+	g.store.Restore(copied)
+	g.putVersion(3)
+	for range 20 {
+		g.putServer("b", lovageyard.StateLive)
+	}
+	g.store.SetFaults(fake.StoreFaults{})
+	for _, control := range controls {
+		g.until("version 3", func() bool { return version(control) == 3 })
+	}
+}
+
+// The second restore comes before all instances have noticed the first one, and answers of both eras before
+// arrive late.
+func TestStoreRestoredTwiceInARow(t *testing.T) {
+	g := newGroup(t)
+	g.putServer("a", lovageyard.StateLive)
+	controls := g.startFleet()
+	copied := g.store.Checkpoint()
+	for next := uint64(2); next <= 10; next++ {
+		g.putVersion(next)
+	}
+	g.until("version 10", func() bool { return version(controls[0]) == 10 })
+	g.store.SetFaults(fake.StoreFaults{AnswerDelay: 300 * time.Millisecond})
+	g.store.Restore(copied)
+	g.putVersion(10)
+	copied = g.store.Checkpoint()
+	g.putVersion(11)
+	time.Sleep(100 * time.Millisecond)
+	g.store.Restore(copied)
+	g.store.SetFaults(fake.StoreFaults{})
+	g.putVersion(12)
+	g.putServer("a", lovageyard.StateLeaving)
+	for _, control := range controls {
+		g.until("version 12", func() bool { return version(control) == 12 && isLeaving(control, "a") })
+		g.c.Assert(control.View().Cursors[lovageyard.TableOrders].Era, qt.Equals, int64(3))
+	}
+}
+
+// An instance that can't reach the store follows the new era through its peers.
+func TestInstanceWithoutPlatformNoticesARestoreFromItsPeers(t *testing.T) {
+	g := newGroup(t)
+	g.putServer("a", lovageyard.StateLive)
+	g.start("entry-0", 1, g.address)
+	defer g.stop("entry-0")
+	cutOff := g.start("entry-1", 1, "127.0.0.1:1", "entry-0:2")
+	defer g.stop("entry-1")
+	copied := g.store.Checkpoint()
+	for next := uint64(2); next <= 20; next++ {
+		g.putVersion(next)
+	}
+	g.until("version 20", func() bool { return version(cutOff) == 20 })
+	g.store.Restore(copied)
+	g.putVersion(20)
+	g.putVersion(21)
+	g.putServer("a", lovageyard.StateLeaving)
+	g.until("version 21", func() bool { return version(cutOff) == 21 && isLeaving(cutOff, "a") })
+}
+
+// A configuration that the store has lost stays in force, and reaches an instance that starts before the
+// operator has written it again.
+func TestLostConfigurationReachesAnInstanceThatStarts(t *testing.T) {
+	g := newGroup(t)
+	g.putServer("a", lovageyard.StateLive)
+	first := g.start("entry-0", 1, g.address)
+	defer g.stop("entry-0")
+	g.until("readiness", func() bool { return first.View().Ready })
+	copied := g.store.Checkpoint()
+	g.putVersion(2)
+	g.until("version 2", func() bool { return version(first) == 2 })
+	g.store.Restore(copied)
+	g.until("the new era", func() bool { return first.View().Cursors[lovageyard.TableOrders].Era == 2 })
+	g.c.Assert(version(first), qt.Equals, uint64(2))
+	second := g.start("entry-1", 1, g.address, "entry-0:2")
+	defer g.stop("entry-1")
+	g.until("version 2", func() bool { return version(second) == 2 })
+}
+
+// A relay that has not noticed the new era yet must not keep its followers waiting, nor be followed.
+func TestRelayInAnEarlierEraAnswersAtOnce(t *testing.T) {
+	g := newGroup(t)
+	control := g.start("entry-0", 1, g.address)
+	defer g.stop("entry-0")
+	g.until("readiness", func() bool { return control.View().Ready })
+	at := control.View().Cursors[lovageyard.TableOrders]
+	reply, err := control.Share(t.Context(), &wire.ShareRequest{
+		From: &wire.Member{}, WaitMs: time.Hour.Milliseconds(), Eras: true,
+		Cursors: []*wire.Cursor{{Table: lovageyard.TableOrders, Era: at.Era + 1, Version: 1}},
+	})
+	g.c.Assert(err, qt.IsNil)
+	g.c.Assert(reply.GetStale(), qt.IsTrue)
+	g.c.Assert(reply.GetEra(), qt.Equals, at.Era)
+	g.c.Assert(reply.GetChanges(), qt.HasLen, 0)
+}
+
+// During a rolling upgrade, a peer of an older version does not state its era. It must not get whole tables
+// each time.
+func TestOlderPeerComparesVersionsWithoutEras(t *testing.T) {
+	g := newGroup(t)
+	control := g.start("entry-0", 1, g.address)
+	defer g.stop("entry-0")
+	g.until("readiness", func() bool { return control.View().Ready })
+	at := control.View().Cursors[lovageyard.TableOrders]
+	share := func(version int64) []*wire.TableChanges {
+		reply, err := control.Share(t.Context(), &wire.ShareRequest{
+			From: &wire.Member{}, Cursors: []*wire.Cursor{{Table: lovageyard.TableOrders, Version: version}},
+		})
+		g.c.Assert(err, qt.IsNil)
+		return reply.GetChanges()
+	}
+	g.c.Assert(share(at.Version), qt.HasLen, 0)
+	g.c.Assert(share(0), qt.HasLen, 1)
+}
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -102,7 +102,9 @@
 
 // newRequest returns a request with this instance's description and the newest encoding that it reads.
 func (c *Control) newRequest() *wire.ShareRequest {
-	return &wire.ShareRequest{From: peer.FromMember(c.self), Reads: peer.NewestEncoding}
+	return &wire.ShareRequest{
+		From: peer.FromMember(c.self), Reads: peer.NewestEncoding, Eras: true, Configuration: c.state.ConfigurationVersion(),
+	}
 }
 
 // gossipRequest returns a request with heartbeats of other instances and, once all tables have been read,
@@ -142,7 +144,7 @@
 // hasAllTables reports whether all followed tables have been read from the platform or a peer.
 func (c *Control) hasAllTables() bool {
 	for _, table := range lovageyard.FollowedTables() {
-		if c.state.Cursor(table) == 0 {
+		if c.state.Cursor(table).IsZero() {
 			return false
 		}
 	}
@@ -168,7 +170,8 @@
 func (c *Control) cursors() []*wire.Cursor {
 	var out []*wire.Cursor
 	for _, table := range lovageyard.FollowedTables() {
-		out = append(out, &wire.Cursor{Table: table, Version: c.state.Cursor(table), Whole: c.needsFullValues[table]})
+		at := c.state.Cursor(table)
+		out = append(out, &wire.Cursor{Table: table, Era: at.Era, Version: at.Version, Whole: c.needsFullValues[table]})
 	}
 	return out
 }
@@ -190,10 +193,18 @@
 	now := c.settings.Timer.Now()
 	c.observe(m.reply.GetFrom(), m.reply.GetPulses(), now)
 	c.applyCrashes(m.reply.GetCrashes(), m.reply.GetClearances())
-	for _, t := range m.reply.GetChanges() {
+	c.applyReply(m.reply, m.requestedAt, now)
+}
+
+// applyReply applies the rows and the confirmation in a peer's reply.
+func (c *Control) applyReply(reply *wire.ShareReply, requestedAt time.Duration, now time.Time) {
+	for _, t := range reply.GetChanges() {
 		c.applyChanges(t, now)
 	}
-	c.recordConfirmation(m.reply.GetConfirmation(), m.requestedAt)
+	if row := reply.GetConfiguration(); row != nil {
+		c.applyLostConfiguration(row)
+	}
+	c.recordConfirmation(reply.GetConfirmation(), requestedAt)
 }
 
 // recordPeerFailure counts and logs a failed call to a peer.
@@ -280,11 +291,13 @@
 		return
 	}
 	delete(c.needsFullValues, t.GetTable())
-	if age := t.GetAgeMs(); age >= 0 && c.hasNewRows(changes.Rows) {
+	if age := t.GetAgeMs(); age >= 0 && c.hasNewRows(changes) {
 		c.recordChangeAge(t.GetTable(), time.Duration(age)*time.Millisecond, now)
 	}
+	cursor := c.state.Cursor(t.GetTable())
 	applied, invalid := c.state.ApplyChanges(t.GetTable(), changes, now)
 	c.logInvalidRows(invalid)
+	c.recordEra(t.GetTable(), cursor)
 	if applied && len(changes.Rows) > 0 {
 		c.dirty = true
 	}
@@ -296,16 +309,20 @@
 	if err != nil {
 		return lovageyard.Changes{}, err
 	}
-	changes := lovageyard.Changes{After: unpacked.GetAfter(), To: unpacked.GetTo()}
+	changes := lovageyard.Changes{Era: unpacked.GetEra(), After: unpacked.GetAfter(), To: unpacked.GetTo()}
+	if changes.Era < c.state.Cursor(t.GetTable()).Era {
+		// Rows from before a restore are not applied, and their bases have been dropped.
+		return changes, nil
+	}
 	knownRows := 0
 	for _, sent := range unpacked.GetRows() {
 		row := lovageyard.Row{Table: t.GetTable(), Key: sent.GetKey(), Version: sent.GetVersion()}
-		if c.state.HasRow(row) {
+		if c.state.HasRow(changes.Era, row) {
 			knownRows++
 			changes.Rows = append(changes.Rows, row)
 			continue
 		}
-		base, found := c.state.ValueAt(t.GetTable(), sent.GetKey(), sent.GetBase())
+		base, found := c.state.ValueAt(t.GetTable(), sent.GetKey(), lovageyard.Position{Era: changes.Era, Version: sent.GetBase()})
 		if sent.GetBase() > 0 && !found {
 			return changes, errors.Errorf("row %s/%s: base version %d is unknown", t.GetTable(), sent.GetKey(), sent.GetBase())
 		}
@@ -356,8 +373,12 @@
 	m.receivedAt = c.settings.Timer.Elapsed()
 	c.observe(m.request.GetFrom(), m.request.GetPulses(), now)
 	c.applyCrashes(m.request.GetCrashes(), m.request.GetClearances())
+	if c.isInEarlierEra(m.request) {
+		// A watch that waits at the platform now may never be answered.
+		c.watches.cancelAll()
+	}
 	changes := c.changesFor(m.request)
-	if m.request.GetWaitMs() > 0 && len(changes) == 0 && !c.isPlatformUnavailable() {
+	if m.request.GetWaitMs() > 0 && c.mayWait(m.request, changes) {
 		deadline := now.Add(time.Duration(m.request.GetWaitMs()) * time.Millisecond)
 		c.waiters = append(c.waiters, waiter{shareCall: m, deadline: deadline, readCount: c.confirmations.readCount})
 		return
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -38,7 +38,7 @@
 	return lovageyard.Changes{To: 1}, nil
 }
 
-func (f *failingFeed) Watch(ctx context.Context, table string, _ int64, wait time.Duration) (lovageyard.Changes, error) {
+func (f *failingFeed) Watch(ctx context.Context, table string, _ lovageyard.Position, wait time.Duration) (lovageyard.Changes, error) {
 	f.calls <- watchCall{table: table, wait: wait}
 	var failing chan struct{}
 	if table == lovageyard.TableOrders {
@@ -119,7 +119,7 @@
 	return f.Feed.Rows(ctx, table)
 }
 
-func (f *countingFeed) Watch(ctx context.Context, table string, after int64, wait time.Duration) (lovageyard.Changes, error) {
+func (f *countingFeed) Watch(ctx context.Context, table string, after lovageyard.Position, wait time.Duration) (lovageyard.Changes, error) {
 	f.calls.Add(1)
 	return f.Feed.Watch(ctx, table, after, wait)
 }
--- a/fleet/version_test.go
+++ b/fleet/version_test.go
@@ -68,7 +68,7 @@
 	defer g.stop("entry-0")
 	g.until("readiness", func() bool { return control.View().Ready })
 	g.until("answers of the later version", func() bool { return peer.calls.Load() >= 3 })
-	g.c.Assert(control.View().Cursors[lovageyard.TableOrders] < 1<<40, qt.IsTrue)
+	g.c.Assert(control.View().Cursors[lovageyard.TableOrders].Version < 1<<40, qt.IsTrue)
 	next := version(control) + 1
 	g.store.PutConfiguration(lovageyard.Configuration{Version: next})
 	g.until("the platform's change", func() bool { return version(control) == next })
--- a/instance.go
+++ b/instance.go
@@ -46,6 +46,8 @@
 	Slots         int           `json:"slots"`
 	Connections   int           `json:"connections"`
 	State         InstanceState `json:"state"`
+	// Sequence increases with each entry that one incarnation writes.
+	Sequence int64 `json:"sequence,omitzero"`
 	// ColdFor is the remaining warm-up time when the server wrote its entry.
 	ColdFor Duration `json:"cold-for,omitzero"`
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -59,7 +59,8 @@
 	PlatformReads        = Metric{"platform-reads", Counter, []string{"table"}, "calls that read the platform"}
 	PlatformFailures     = Metric{"platform-failures", Counter, []string{"table", "cause"}, "calls that failed, by timeout or for other reasons, lost history left out"}
 	HistoryLost          = Metric{"platform-history-lost", Counter, []string{"table"}, "watches that the platform refused, as it no longer or not yet has the version after which they ask"}
-	ListsIgnored         = Metric{"platform-lists-ignored", Counter, []string{"table"}, "lists of the platform that were ignored, as they are older than the rows in use"}
+	OutdatedReads        = Metric{"platform-reads-outdated", Counter, []string{"table"}, "reads of the platform that were ignored, as they are older than the rows in use"}
+	PlatformRestores     = Metric{"platform-restores", Counter, []string{"table"}, "times that the platform's store was seen to have been restored from an older copy"}
 	RowsSkipped          = Metric{"rows-passed-over", Counter, []string{"table", "field"}, "rows of the platform that are not understood, by the field that is wrong; a row of a server then names none"}
 	PlatformWrites       = Metric{"platform-writes", Counter, nil, "transactions on instances' rows"}
 	PeerExchanges        = Metric{"peer-exchanges", Counter, nil, "exchanges with other instances that were answered"}
@@ -77,7 +78,7 @@
 		Answers, Refusals, Latency, ExpectedWait, Sends, Retries, RetriesDenied, ColdSends, ShareElsewhere, InFlight,
 		ServersKnown, ServersSuspect, ServersLimited, ServersLeaving, ServersBackingOff, ServersCrashed, RequestsQuarantined, ConnectionsOpened, ConfigurationVersion, ConfigurationAge, ConfirmationAge,
 		LimitReports, AccountsNearLimit, InstancesLive,
-		ChangeAge, PlatformReads, PlatformFailures, HistoryLost, ListsIgnored, RowsSkipped, PlatformWrites, PeerExchanges, PeerFailures,
+		ChangeAge, PlatformReads, PlatformFailures, HistoryLost, OutdatedReads, PlatformRestores, RowsSkipped, PlatformWrites, PeerExchanges, PeerFailures,
 		PeerRows, PeerRowsKnown, PeerBytes,
 		LogDroppedRoutine, LogDroppedOther,
 	}
--- a/peer/changes.go
+++ b/peer/changes.go
@@ -64,22 +64,27 @@
 
 // compressedRow holds the compressed values of the newest version of a row, by the version of the base.
 type compressedRow struct {
-	version int64
-	byBase  map[int64][]byte
+	at     lovageyard.Position
+	byBase map[int64][]byte
 }
 
 // EncodeChanges returns the wire form of changes. For a long value of which the receiver has an older
 // version, a delta is sent: for a configuration of 760 KB, one additional route takes 0.2 KB and 1,400
 // additional routes take 24 KB, while the full value takes 70 KB.
 func (e *Encoder) EncodeChanges(c lovageyard.Changes, baseOf BaseLookup) *wire.Changes {
-	w := &wire.Changes{After: c.After, To: c.To}
+	w := &wire.Changes{Era: c.Era, After: c.After, To: c.To}
 	for _, r := range c.Rows {
-		w.Rows = append(w.Rows, e.encodeRow(r, baseOf))
+		w.Rows = append(w.Rows, e.encodeRow(c.Era, r, baseOf))
 	}
 	return w
 }
 
-func (e *Encoder) encodeRow(r lovageyard.Row, baseOf BaseLookup) *wire.Row {
+// EncodeRow returns the wire form of one row, without a base. The value is not cached.
+func EncodeRow(r lovageyard.Row) *wire.Row {
+	return new(Encoder).encodeRow(0, r, NoBase)
+}
+
+func (e *Encoder) encodeRow(era int64, r lovageyard.Row, baseOf BaseLookup) *wire.Row {
 	w := encodePlainRow(r)
 	if len(r.Value) < minCompressSize {
 		return w
@@ -88,7 +93,7 @@
 	if !found {
 		base = lovageyard.Row{}
 	}
-	if zipped := e.compressRow(r, base); len(zipped) < len(r.Value) {
+	if zipped := e.compressRow(era, r, base); len(zipped) < len(r.Value) {
 		w.Value = nil
 		w.Zipped = zipped
 		w.Base = base.Version
@@ -96,16 +101,17 @@
 	return w
 }
 
-// compressRow returns the compressed value of a row, from the cache if possible. A base without a value
-// means none.
-func (e *Encoder) compressRow(r, base lovageyard.Row) []byte {
+// compressRow returns the compressed value of a row of an era, from the cache if possible. A base without a
+// value means none.
+func (e *Encoder) compressRow(era int64, r, base lovageyard.Row) []byte {
 	if e.compressed == nil {
 		e.compressed = make(map[rowKey]*compressedRow)
 	}
 	key := rowKey{table: r.Table, key: r.Key}
+	at := lovageyard.Position{Era: era, Version: r.Version}
 	known := e.compressed[key]
-	if known == nil || known.version != r.Version {
-		known = &compressedRow{version: r.Version, byBase: make(map[int64][]byte)}
+	if known == nil || known.at != at {
+		known = &compressedRow{at: at, byBase: make(map[int64][]byte)}
 		e.compressed[key] = known
 	}
 	zipped, found := known.byBase[base.Version]
@@ -138,7 +144,7 @@
 
 // encodePlainChanges returns the wire form of changes without compression.
 func encodePlainChanges(c lovageyard.Changes) *wire.Changes {
-	w := &wire.Changes{After: c.After, To: c.To}
+	w := &wire.Changes{Era: c.Era, After: c.After, To: c.To}
 	for _, r := range c.Rows {
 		w.Rows = append(w.Rows, encodePlainRow(r))
 	}
@@ -232,7 +238,7 @@
 // ToChanges returns the changes of a wire message without deltas, or an error if a value can't be
 // decompressed.
 func ToChanges(w *wire.Changes) (lovageyard.Changes, error) {
-	c := lovageyard.Changes{After: w.GetAfter(), To: w.GetTo()}
+	c := lovageyard.Changes{Era: w.GetEra(), After: w.GetAfter(), To: w.GetTo()}
 	for _, sent := range w.GetRows() {
 		row, err := ToRow(sent.GetTable(), sent, nil)
 		if err != nil {
--- a/peer/changes_test.go
+++ b/peer/changes_test.go
@@ -111,3 +111,18 @@
 	}
 	c.Assert(ToRates(FromRates([]float64{0, 1e-9, 1e9}))[:2], qt.DeepEquals, []float64{0, 0})
 }
+
+// After a restore of the platform's store, versions are assigned again: another value may have the version of
+// the one that was compressed before.
+func TestCompressedValueOfAnotherEraIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	encoder := new(Encoder)
+	for era, letter := range []string{"a", "b"} {
+		value := bytes.Repeat([]byte(letter), 1000)
+		sent := encoder.EncodeChanges(lovageyard.Changes{Era: int64(era), To: 7, Rows: []lovageyard.Row{{Table: "orders", Key: "config", Version: 7, Value: value}}}, NoBase)
+		got, err := ToChanges(sent)
+		c.Assert(err, qt.IsNil)
+		c.Assert(got.Era, qt.Equals, int64(era))
+		c.Assert(string(got.Rows[0].Value), qt.Equals, string(value))
+	}
+}
--- a/ports.go
+++ b/ports.go
@@ -108,9 +108,9 @@
 	// Transact commits t and returns its version. The error is a *ConflictError if a condition
 	// did not hold, and wraps ErrUnknownOutcome if t may have been committed or may be later.
 	Transact(ctx context.Context, t Transaction) (int64, error)
-	// Changes returns the changes to the tables after a version. If the platform no longer has
+	// Changes returns the changes to the tables after a position. If the platform no longer has
 	// them, it returns all rows as changes after version 0.
-	Changes(ctx context.Context, tables []string, after int64) (Changes, error)
+	Changes(ctx context.Context, tables []string, after Position) (Changes, error)
 }
 
 // Object is one version of an object in the platform's object store.
--- a/steering.go
+++ b/steering.go
@@ -121,7 +121,7 @@
 	Rows(ctx context.Context, table string) (Changes, error)
 	// Watch returns the changes after a version as soon as there are any, or none after the wait
 	// (a long poll). The error is ErrHistoryLost if the changes are no longer available.
-	Watch(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error)
+	Watch(ctx context.Context, table string, after Position, wait time.Duration) (Changes, error)
 }
 
 // Decoder decodes rows of followed tables. Its errors name the invalid field.
