fleet: rows that the store has lost are written again

What users would see: after the store came back from a copy made before an instance had registered, its row is gone for good. New instances do not find it, and limits that all instances share are divided among fewer: an instance that is cut off from the others would use its share, and they would use it too. A quarantined request would be forgotten with the last instance.

Cause: an instance wrote its row once and never looked again, and so did the instance that had quarantined a request. Also a removal of a row that was sent before a restore may be committed after it, if the row has the same version again.

Instances whose rows are lost count for 20 s among those that share limits, as long as rows of silent instances are kept. Rows of quarantined requests are written again when the era changes.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -129,6 +128,15 @@
 	digestSentAt       time.Time
 	// silentSince is when this instance first found that the row's instance was not a member, by row key.
 	silentSince map[string]time.Time
+	// registeredAt is when this instance's row was last written, and registerFailed is set if the last
+	// attempt to write it has failed.
+	registeredAt   time.Time
+	registerFailed bool
+	// lostInstances holds the instances whose rows the platform's store has lost, and until when they count
+	// as instances that may be running.
+	lostInstances map[string]time.Time
+	// quarantined holds the requests whose rows this instance has written or is writing.
+	quarantined []uint64
 	// confirmations holds confirmations until the rows read before them are in force.
 	confirmations confirmations
 }
@@ -156,6 +164,7 @@
 		failingSince:       make(map[string]time.Time),
 		historyLost:        make(map[string]bool),
 		silentSince:        make(map[string]time.Time),
+		lostInstances:      make(map[string]time.Time),
 	}
 	c.members.SetSuspectTimeout(suspectTimeout)
 	c.watchesPlatform.Store(true)
@@ -164,14 +173,13 @@
 	return c
 }
 
-// Start starts the loop, the watches of the platform's tables and the registration of this instance.
+// Start starts the loop, which registers this instance, and the watches of the platform's tables.
 func (c *Control) Start() {
 	ticks := c.settings.Timer.Subscribe(tickInterval)
 	c.inbox.Start(func() { c.run(ticks) })
 	for _, table := range lovageyard.FollowedTables() {
 		c.inbox.Go(func() { c.followTable(table) })
 	}
-	c.inbox.Go(c.register)
 	c.inbox.Go(c.readQuarantineRows)
 }
 
@@ -224,12 +232,16 @@
 	if c.state.Expire(now) {
 		c.dirty = true
 	}
+	if c.expireLostInstances(now) {
+		c.dirty = true
+	}
 	c.settings.Quarantine.Tick(now)
 	c.forgetRemovedMembers()
 	c.gossip()
 	c.followRelays()
 	c.answerWaiters(now)
 	c.removeStaleRows(now)
+	c.register(now)
 }
 
 // forgetRemovedMembers drops the state of instances that the table of members has removed.
@@ -282,6 +294,9 @@
 	for name := range view.Instances {
 		names[name] = true
 	}
+	for name := range c.lostInstances {
+		names[name] = true
+	}
 	return sortedKeys(names)
 }
 
@@ -383,40 +398,6 @@
 	c.seeds = m
 }
 
-// register writes this instance's row, so that new instances find it, unless an earlier incarnation has
-// left the same row.
-func (c *Control) register() {
-	self := c.settings.Self
-	// The row outlives this incarnation, so it must not contain its number.
-	self.Incarnation = 0
-	value, err := json.Marshal(self)
-	if err != nil {
-		c.settings.Logger.WithError(err).Error("failed to encode this instance's row")
-		return
-	}
-	write := lovageyard.Write{Table: lovageyard.TableInstances, Key: self.Name, Value: value}
-	for attempt := 0; c.inbox.Context().Err() == nil; attempt++ {
-		view := c.View()
-		if view.Cursors[lovageyard.TableInstances].IsZero() {
-			c.sleep(relayCheckInterval)
-			continue
-		}
-		if view.Instances[self.Name] == self {
-			return
-		}
-		// The write is idempotent, so it may be repeated if its outcome is unknown.
-		c.settings.Metrics.Count(meter.PlatformWrites)
-		_, err := c.settings.Registrar.Transact(c.inbox.Context(), lovageyard.Transaction{Writes: []lovageyard.Write{write}})
-		if err == nil {
-			return
-		}
-		if attempt == 0 {
-			c.settings.Logger.WithError(err).Warn("failed to register this instance; retrying")
-		}
-		c.sleep(registerRetryInterval)
-	}
-}
-
 // sleep waits for a duration or until the loop stops.
 func (c *Control) sleep(d time.Duration) {
 	after := c.settings.Timer.After(d)
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -1,6 +1,9 @@
 package fleet
 
 import (
+	"maps"
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
@@ -11,10 +14,10 @@
 
 // When the platform's store is restored from an older copy, it begins a new era and assigns versions again.
 // Instances notice at different times, by their own reads or from peers; cursors of different eras are never
-// compared by version.
+// compared by version. What this instance wrote to the store may be lost and is written again.
 
 // recordEra handles a change of a table's era; cursor is the table's cursor before the last changes.
-func (c *Control) recordEra(table string, cursor lovageyard.Position) {
+func (c *Control) recordEra(table string, cursor lovageyard.Position, now time.Time) {
 	at := c.state.Cursor(table)
 	if cursor.IsZero() || at.Era == cursor.Era {
 		return
@@ -32,8 +35,12 @@
 	c.dirty = true
 	// Watches of other tables are still those of the previous era.
 	c.watches.cancelAll()
-	if table == lovageyard.TableOrders {
+	switch table {
+	case lovageyard.TableOrders:
 		c.distrustRelays(at.Era)
+		c.rewriteQuarantineRows()
+	case lovageyard.TableInstances:
+		c.retainLostInstances(now)
 	}
 }
 
@@ -47,6 +54,23 @@
 	c.watchesPlatform.Store(!c.hasHealthyRelay())
 }
 
+// retainLostInstances keeps the instances whose rows were lost among those that may be running: they write
+// their rows again once they can reach the platform, and until then must keep their share of common limits.
+func (c *Control) retainLostInstances(now time.Time) {
+	for name := range c.View().Instances {
+		if _, listed := c.state.Instance(name); !listed {
+			c.lostInstances[name] = now.Add(rowRemovalTimeout)
+		}
+	}
+}
+
+// expireLostInstances forgets the lost instances whose time is over, and reports whether there were any.
+func (c *Control) expireLostInstances(now time.Time) bool {
+	before := len(c.lostInstances)
+	maps.DeleteFunc(c.lostInstances, func(_ string, until time.Time) bool { return !now.Before(until) })
+	return len(c.lostInstances) != before
+}
+
 // isInEarlierEra reports whether this instance has not noticed yet that a new era has begun, which the sender
 // of a request has.
 func (c *Control) isInEarlierEra(r *wire.ShareRequest) bool {
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -38,8 +38,6 @@
 	minBackoff         = 200 * time.Millisecond
 	maxBackoff         = 800 * time.Millisecond
 	maxBackoffNonRelay = 3200 * time.Millisecond
-	// registerRetryInterval is the interval between attempts to write this instance's row.
-	registerRetryInterval = time.Second
 	// rowRemovalTimeout is how long the row of an instance that is not a member is kept.
 	rowRemovalTimeout = 20 * time.Second
 )
@@ -196,7 +194,7 @@
 		_, invalid = c.state.ApplyChanges(m.table, m.changes, now)
 	}
 	c.logInvalidRows(invalid)
-	c.recordEra(m.table, cursor)
+	c.recordEra(m.table, cursor, now)
 	c.recordFeedSuccess(m.table, now)
 	c.recordRead(m)
 	if m.whole || len(m.changes.Rows) > 0 {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -111,11 +111,6 @@
 	return g.startOn(name, incarnation, client, client, seeds...)
 }
 
-// client returns a client of the store.
-func (g *group) client() *platform.Store {
-	return platform.NewStore(g.address, discardLogger())
-}
-
 func discardLogger() *logrus.Logger {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
--- a/fleet/quarantine.go
+++ b/fleet/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -34,6 +35,18 @@
 // storeQuarantineRows writes a row for each request that was newly quarantined by this instance.
 func (c *Control) storeQuarantineRows() {
 	for _, request := range c.settings.Quarantine.NewlyQuarantined() {
+		c.quarantined = append(c.quarantined, request)
+		c.inbox.Go(func() { c.storeQuarantineRow(request) })
+	}
+}
+
+// rewriteQuarantineRows writes the rows of this instance again, after the platform's store was restored from a
+// copy that may lack them.
+func (c *Control) rewriteQuarantineRows() {
+	c.quarantined = slices.DeleteFunc(c.quarantined, func(request uint64) bool {
+		return !c.settings.Quarantine.Evaluate(request).Quarantined
+	})
+	for _, request := range c.quarantined {
 		c.inbox.Go(func() { c.storeQuarantineRow(request) })
 	}
 }
--- a/fleet/quarantine_test.go
+++ b/fleet/quarantine_test.go
@@ -28,6 +28,7 @@
 		return m
 	}
 	first := start("entry-0")
+	empty := g.store.Checkpoint()
 	for n := range 3 {
 		time.Sleep(2 * time.Millisecond)
 		crashServer(first, fmt.Sprint("server-", n), poison)
@@ -38,6 +39,9 @@
 		return list.Rows
 	}
 	g.until("the row", func() bool { return len(rows()) == 1 })
+	// The row is written again if the platform's store is restored from a copy that lacks it.
+	g.store.Restore(empty)
+	g.until("the row again", func() bool { return len(rows()) == 1 })
 	// Add a row of a request that is not quarantined, and an invalid one, which must not be removed.
 	g.store.Put(platform.StoreTable(lovageyard.TableQuarantine), "1", map[string]any{"crashes": []any{}})
 	g.store.Put(platform.StoreTable(lovageyard.TableQuarantine), "none", "nonsense")
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -11,6 +11,7 @@
 	"lovageyard.example/lovageyard/catalog"
 	"lovageyard.example/lovageyard/fleet"
 	"lovageyard.example/lovageyard/peer/wire"
+	"lovageyard.example/lovageyard/platform"
 	"lovageyard.example/lovageyard/platform/fake"
 )
 
@@ -189,6 +190,65 @@
 	g.until("version 2", func() bool { return version(second) == 2 })
 }
 
+// The store loses the row of an instance, for example because it was written after the copy was made.
+func TestRowOfAnInstanceIsWrittenAgainAfterARestore(t *testing.T) {
+	g := newGroup(t)
+	copied := g.store.Checkpoint()
+	control := g.start("entry-0", 1, g.address)
+	defer g.stop("entry-0")
+	listed := func() bool { return len(control.View().Instances) == 1 }
+	g.until("the row", listed)
+	g.store.Restore(copied)
+	g.until("the loss", func() bool { return !listed() })
+	g.until("the row again", listed)
+}
+
+// A peer that had found this instance to be silent removes its row, or a removal from before a restore is
+// committed late, as the row has the same version again.
+func TestRowOfAnInstanceIsWrittenAgainAfterARemoval(t *testing.T) {
+	g := newGroup(t)
+	control := g.start("entry-0", 1, g.address)
+	defer g.stop("entry-0")
+	listed := func() bool { return len(control.View().Instances) == 1 }
+	g.until("the row", listed)
+	g.store.Remove("lovageyard-instances", "entry-0")
+	g.until("the removal", func() bool { return !listed() })
+	g.until("the row again", listed)
+}
+
+// namesObserver records the instances among which limits are divided.
+type namesObserver struct {
+	ignoringObserver
+	names chan []string
+}
+
+func (o namesObserver) SetInstances(names []string, _ time.Time) {
+	for len(o.names) > 0 {
+		<-o.names
+	}
+	o.names <- names
+}
+
+// An instance that is cut off from all others must not lose its share of common limits to them when the store
+// loses its row.
+func TestInstanceWhoseRowIsLostKeepsItsShareOfLimits(t *testing.T) {
+	g := newGroup(t)
+	copied := g.store.Checkpoint()
+	client := platform.NewStore(g.address, discardLogger())
+	settings := g.settings("entry-0", 1, client, client)
+	observer := namesObserver{names: make(chan []string, 1)}
+	settings.Observer = observer
+	control := g.startWith(settings)
+	defer g.stop("entry-0")
+	g.start("entry-1", 1, g.address, "entry-0:2")
+	g.until("both rows", func() bool { return len(control.View().Instances) == 2 && len(control.View().Live) == 2 })
+	g.stop("entry-1")
+	g.until("entry-1 is not live", func() bool { return len(control.View().Live) == 1 })
+	g.store.Restore(copied)
+	g.until("the loss", func() bool { _, listed := control.View().Instances["entry-1"]; return !listed })
+	g.c.Assert(<-observer.names, qt.DeepEquals, []string{"entry-0", "entry-1"})
+}
+
 // A relay that has not noticed the new era yet must not keep its followers waiting, nor be followed.
 func TestRelayInAnEarlierEraAnswersAtOnce(t *testing.T) {
 	g := newGroup(t)
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -297,7 +297,7 @@
 	cursor := c.state.Cursor(t.GetTable())
 	applied, invalid := c.state.ApplyChanges(t.GetTable(), changes, now)
 	c.logInvalidRows(invalid)
-	c.recordEra(t.GetTable(), cursor)
+	c.recordEra(t.GetTable(), cursor, now)
 	if applied && len(changes.Rows) > 0 {
 		c.dirty = true
 	}
