freshness: a restored store confirms nothing until it is written again

What users would see: a key that an acknowledged configuration took away just before a drill is used for longer than allowed. The restored store lacks that configuration, and a read of it confirmed the older one as the newest.

Cause: a read confirmed whatever the store had; the age of the knowledge bounds how long a revoked key can run only if the store has all that it has acknowledged. The monotonic clock of the platform was also compared across the restore.

Change: reads that begin within 2 s after the new era was noticed confirm nothing, and neither do peers' reports of them; the platform's clock begins anew. A peer's confirmation counts only in the same era and if the peer's configuration is not newer (fleet).

Ruled out: refusing all requests with keys during that time; the last confirmation from before the outage still bounds the age.

Result: TestReadsSoonAfterARestoreConfirmNothing and TestPlatformClockOfBeforeARestoreIsNotUsed do not build before and pass, TestConfirmationOfAnotherEraIsIgnored passes.

--- a/fleet/confirm_test.go
+++ b/fleet/confirm_test.go
@@ -165,3 +165,40 @@
 	}
 	return reply, err
 }
+
+// A confirmation of another era, or by a peer whose configuration this instance lacks, must be ignored.
+func TestConfirmationOfAnotherEraIsIgnored(t *testing.T) {
+	for _, change := range []func(*wire.Confirmation){
+		func(c *wire.Confirmation) { c.Era++ },
+		func(c *wire.Confirmation) { c.Configuration++ },
+	} {
+		g := newGroup(t)
+		g.putAccounts(2)
+		g.start("entry-0", 1, g.address)
+		client := platform.NewStore("127.0.0.1:1", discardLogger())
+		s := g.settings("entry-1", 1, client, client, "entry-0:2")
+		confirmed := &atomic.Int64{}
+		s.Peers = changedConfirmations{s.Peers, change, confirmed}
+		second := g.startWith(s)
+		g.until("some answers confirm a configuration", func() bool { return confirmed.Load() > 4 })
+		g.c.Assert(second.ConfirmationAge(), qt.Equals, freshness.Unknown)
+		g.stop("entry-1")
+		g.stop("entry-0")
+	}
+}
+
+// changedConfirmations changes the confirmations in replies, and counts them.
+type changedConfirmations struct {
+	fleet.Peers
+	change    func(*wire.Confirmation)
+	confirmed *atomic.Int64
+}
+
+func (p changedConfirmations) Share(ctx context.Context, address string, r *wire.ShareRequest) (*wire.ShareReply, error) {
+	reply, err := p.Peers.Share(ctx, address, r)
+	if confirmation := reply.GetConfirmation(); confirmation != nil {
+		p.change(confirmation)
+		p.confirmed.Add(1)
+	}
+	return reply, err
+}
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -37,6 +37,7 @@
 	c.watches.cancelAll()
 	switch table {
 	case lovageyard.TableOrders:
+		c.freshness.ObserveRestore(c.settings.Timer.Elapsed())
 		c.distrustRelays(at.Era)
 		c.rewriteQuarantineRows()
 	case lovageyard.TableInstances:
--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// rewriteTime is the time after a restore of the platform's store within which the operator writes again
+// what the store has lost.
+const rewriteTime = 2 * time.Second
+
 // Unknown is the age of a configuration that was never confirmed.
 const Unknown = time.Duration(math.MaxInt64)
 
@@ -29,12 +33,21 @@
 }
 
 // Tracker keeps the latest time at which the current configuration is known to have been the newest.
-// ObserveRead and ObservePeer must be called from one goroutine; Age is safe for concurrent use.
+// Age is safe for concurrent use; the other methods must be called from one goroutine.
 type Tracker struct {
 	confirmedAt atomic.Int64
 	// lastReadAt is a lower bound of the time at which the platform's clock showed platformTime.
 	lastReadAt   time.Duration
 	platformTime time.Duration
+	// trustedFrom is the time before which reads say nothing, as the store may have lost changes.
+	trustedFrom time.Duration
+}
+
+// ObserveRestore records that the platform's store was restored from an older copy, as noticed at a time.
+// Reads confirm nothing until the operator has written again what was lost.
+func (t *Tracker) ObserveRestore(at time.Duration) {
+	t.trustedFrom = at + rewriteTime
+	t.platformTime = 0
 }
 
 // ObserveRead records a read from the platform. It is to be called once all changes of the read are in force.
@@ -64,7 +77,7 @@
 }
 
 func (t *Tracker) confirm(at time.Duration) {
-	if at > time.Duration(t.confirmedAt.Load()) {
+	if at >= t.trustedFrom && at > time.Duration(t.confirmedAt.Load()) {
 		t.confirmedAt.Store(int64(at))
 	}
 }
--- a/freshness/tracker_test.go
+++ b/freshness/tracker_test.go
@@ -90,3 +90,27 @@
 		}
 	})
 }
+
+// A store that was restored from an older copy may lack a configuration that it had acknowledged, until the
+// operator has written it again.
+func TestReadsSoonAfterARestoreConfirmNothing(t *testing.T) {
+	c := qt.New(t)
+	var tracker freshness.Tracker
+	tracker.ObserveRead(freshness.Read{StartedAt: 10 * second, FinishedAt: 10 * second, PlatformTime: 500 * second})
+	tracker.ObserveRestore(12 * second)
+	tracker.ObserveRead(freshness.Read{StartedAt: 13 * second, FinishedAt: 13 * second, PlatformTime: 100 * second})
+	tracker.ObservePeer(freshness.PeerReport{RequestedAt: 13 * second})
+	c.Assert(tracker.Age(14*second), qt.Equals, 4*second)
+	tracker.ObserveRead(freshness.Read{StartedAt: 14 * second, FinishedAt: 15 * second, PlatformTime: 101 * second})
+	c.Assert(tracker.Age(15*second), qt.Equals, second)
+}
+
+// The platform's clock may be another one after a restore.
+func TestPlatformClockOfBeforeARestoreIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	var tracker freshness.Tracker
+	tracker.ObserveRead(freshness.Read{StartedAt: 10 * second, FinishedAt: 10 * second, PlatformTime: 500 * second})
+	tracker.ObserveRestore(12 * second)
+	tracker.ObserveRead(freshness.Read{StartedAt: 20 * second, FinishedAt: 23 * second, PlatformTime: 513 * second})
+	c.Assert(tracker.Age(23*second), qt.Equals, 3*second)
+}
