fleet: an instance that starts serves once the store's era has settled

What callers saw (soak): "server i-3 got 3-2182, whose key was revoked more than 5s before" and "from entry-0 5.3s after it left".

Cause: an instance that starts within a moment of a restore has nothing but the restored copy, which lacks a configuration and a server's leaving that were acknowledged seconds before. It was ready as soon as it had read the copy, and its first read confirmed the older configuration.

Change: such an instance refuses requests as not run, is not ready and confirms nothing until the era has settled, which is 2 s after it was noticed. It learns that at once from a row that a relay writes for each era, or from a peer, also while the store can't be reached; without either it waits 2 s from when it had all tables. A store that was never restored needs no time. Instances that ran before the restore serve on.

Ruled out: excusing restarted instances in the soak; the promise on revoked keys holds for all instances. Passing on what peers know of servers only: it does not help when all instances restart.

--- a/catalog/view.go
+++ b/catalog/view.go
@@ -17,6 +17,9 @@
 	// Leaving reports whether this instance is shutting down; it exits at ShutdownAt.
 	Leaving    bool
 	ShutdownAt time.Time
+	// Settling reports whether this instance has just started and the platform's store may have been restored
+	// just before, so that the rows may lack changes that were acknowledged.
+	Settling bool
 	// Refusing reports whether this instance refuses new requests.
 	Refusing bool
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -343,6 +343,19 @@
 	h.c.Assert(h.send(http.MethodGet, "/other/", "").StatusCode, qt.Equals, http.StatusServiceUnavailable)
 }
 
+// The rows of an instance that starts just after a restore of the platform's store may be older than what was
+// acknowledged, so that its server may be leaving or its route be gone.
+func TestRequestsAreRefusedWhileSettling(t *testing.T) {
+	h := newHarness(t, success(200))
+	h.view.Settling = true
+	response := h.send(http.MethodGet, "/x/", "")
+	h.c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	h.c.Assert(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	h.c.Assert(h.sender.sent, qt.HasLen, 0)
+	h.view.Settling = false
+	h.c.Assert(h.send(http.MethodGet, "/x/", "").StatusCode, qt.Equals, http.StatusOK)
+}
+
 func TestLeavingInstanceClosesConnectionsThenRefuses(t *testing.T) {
 	h := newHarness(t, success(200))
 	h.view.Leaving = true
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -141,6 +141,10 @@
 		x.refuse(causeClosing, "this instance takes no requests", immediateRetry, nil)
 		return
 	}
+	if x.view.Settling {
+		x.refuse(causeSettling, "this instance has just started and may lack changes", immediateRetry, nil)
+		return
+	}
 	x.route = x.view.Match(x.request.Host, x.path())
 	if x.route == nil {
 		x.rejectUnknown(http.StatusNotFound, "no route matches")
@@ -251,6 +255,7 @@
 // Causes of refusals in metrics and logs, in addition to those of the dispatch table.
 const (
 	causeClosing     = "closing"
+	causeSettling    = "settling"
 	causeQuarantined = "held"
 	causeServer      = "server"
 	causeNotReached  = "not-reached"
--- a/fleet/confirm.go
+++ b/fleet/confirm.go
@@ -54,6 +54,10 @@
 		return
 	}
 	c.confirmations.readCount++
+	if c.isSettling() {
+		// The store may have lost a newer configuration.
+		return
+	}
 	c.confirmations.reads = append(c.confirmations.reads, freshness.Read{
 		StartedAt: m.startedAt, FinishedAt: m.finishedAt, PlatformTime: m.changes.PlatformTime,
 	})
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -128,6 +128,12 @@
 	digestSentAt       time.Time
 	// silentSince is when this instance first found that the row's instance was not a member, by row key.
 	silentSince map[string]time.Time
+	// settled is set once the rows can be relied on after the start; settleAt is when they can if nothing else
+	// tells, and restoreNoticedAt when this incarnation noticed a restore of the platform's store, as
+	// lovageyard.Timer's elapsed time.
+	settled          bool
+	settleAt         time.Time
+	restoreNoticedAt time.Duration
 	// registeredAt is when this instance's row was last written, and registerFailed is set if the last
 	// attempt to write it has failed.
 	registeredAt   time.Time
@@ -181,6 +187,7 @@
 		c.inbox.Go(func() { c.followTable(table) })
 	}
 	c.inbox.Go(c.readQuarantineRows)
+	c.inbox.Go(c.readEra)
 }
 
 // Close stops the loop, cancels all calls and waits for them to return.
@@ -203,7 +210,7 @@
 		case now := <-ticks.C():
 			c.tick(now)
 		case now := <-startChecks.C():
-			if c.hasAllTables() {
+			if c.hasAllTables() && !c.isSettling() {
 				startChecks.Close()
 			} else {
 				c.requestTables(now)
@@ -235,6 +242,7 @@
 	if c.expireLostInstances(now) {
 		c.dirty = true
 	}
+	c.checkSettled(now)
 	c.settings.Quarantine.Tick(now)
 	c.forgetRemovedMembers()
 	c.gossip()
@@ -255,7 +263,7 @@
 // heartbeat increments this instance's heartbeat and updates its description of itself.
 func (c *Control) heartbeat(now time.Time) {
 	c.self.Heartbeat++
-	if stale := c.hasStaleConfiguration(); stale != c.self.Stale {
+	if stale := c.hasStaleConfiguration() || c.isSettling(); stale != c.self.Stale {
 		c.self.Stale = stale
 		c.dirty = true
 	}
@@ -269,7 +277,8 @@
 	view := &catalog.View{
 		Snapshot:   c.state.Snapshot(),
 		Live:       c.members.Live(),
-		Ready:      c.state.Ready(),
+		Ready:      c.state.Ready() && !c.isSettling(),
+		Settling:   c.isSettling(),
 		Leaving:    c.leaving,
 		ShutdownAt: c.shutdownAt,
 		Refusing:   c.refusing,
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -37,7 +37,9 @@
 	c.watches.cancelAll()
 	switch table {
 	case lovageyard.TableOrders:
-		c.freshness.ObserveRestore(c.settings.Timer.Elapsed())
+		c.restoreNoticedAt = c.settings.Timer.Elapsed()
+		c.freshness.ObserveRestore(c.restoreNoticedAt)
+		c.markEra()
 		c.distrustRelays(at.Era)
 		c.rewriteQuarantineRows()
 	case lovageyard.TableInstances:
--- a/fleet/narrow_test.go
+++ b/fleet/narrow_test.go
@@ -102,7 +102,7 @@
 func (g *group) value(version int64) []byte {
 	client := platform.NewStore(g.address, discardLogger())
 	defer client.Close()
-	changes, err := client.Watch(context.Background(), lovageyard.TableOrders, lovageyard.Position{Era: 1, Version: version - 1}, 0)
+	changes, err := client.Watch(context.Background(), lovageyard.TableOrders, lovageyard.Position{Version: version - 1}, 0)
 	g.c.Assert(err, qt.IsNil)
 	g.c.Assert(changes.Rows, qt.HasLen, 1)
 	return changes.Rows[0].Value
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -208,6 +208,7 @@
 		Stale:        c.isPlatformUnavailable() || !c.watchesPlatform.Load() || c.isInEarlierEra(m.request),
 		Confirmation: c.confirmation(m.receivedAt),
 		Era:          c.state.Cursor(lovageyard.TableOrders).Era,
+		Settled:      c.hasSettledForPeers(),
 	}
 	if c.lacksLostConfiguration(m.request) {
 		reply.Configuration = c.lostConfiguration()
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -148,7 +149,7 @@
 	g.putServer("a", lovageyard.StateLeaving)
 	for _, control := range controls {
 		g.until("version 12", func() bool { return version(control) == 12 && isLeaving(control, "a") })
-		g.c.Assert(control.View().Cursors[lovageyard.TableOrders].Era, qt.Equals, int64(3))
+		g.c.Assert(control.View().Cursors[lovageyard.TableOrders].Era, qt.Equals, int64(2))
 	}
 }
 
@@ -184,7 +185,7 @@
 	g.putVersion(2)
 	g.until("version 2", func() bool { return version(first) == 2 })
 	g.store.Restore(copied)
-	g.until("the new era", func() bool { return first.View().Cursors[lovageyard.TableOrders].Era == 2 })
+	g.until("the new era", func() bool { return first.View().Cursors[lovageyard.TableOrders].Era == 1 })
 	g.c.Assert(version(first), qt.Equals, uint64(2))
 	second := g.start("entry-1", 1, g.address, "entry-0:2")
 	defer g.stop("entry-1")
@@ -286,6 +287,8 @@
 	control := g.start("entry-0", 1, g.address)
 	defer g.stop("entry-0")
 	g.until("readiness", func() bool { return control.View().Ready })
+	g.store.Restore(g.store.Checkpoint())
+	g.until("the new era", func() bool { return control.View().Cursors[lovageyard.TableOrders].Era == 1 })
 	at := control.View().Cursors[lovageyard.TableOrders]
 	share := func(version int64) []*wire.TableChanges {
 		reply, err := control.Share(t.Context(), &wire.ShareRequest{
@@ -297,3 +300,69 @@
 	g.c.Assert(share(at.Version), qt.HasLen, 0)
 	g.c.Assert(share(0), qt.HasLen, 1)
 }
+
+// An instance that starts just after a restore must not serve by what the copy has: "server i-3 got 3-2182, whose
+// key was revoked more than 5s before". The store has lost the newest configuration, and no peer has it.
+func TestInstanceStartsOnlyOnceTheEraHasSettled(t *testing.T) {
+	g := newGroup(t)
+	g.putVersion(2)
+	g.store.Restore(g.store.Checkpoint())
+	clock := timer.NewManual(time.Unix(1000, 0))
+	start := func(name string) *fleet.Control {
+		client := platform.NewStore(g.address, discardLogger())
+		settings := g.settings(name, 1, client, client)
+		settings.Timer = clock
+		return g.startWith(settings)
+	}
+	first := start("entry-0")
+	defer g.stop("entry-0")
+	g.until("version 2", func() bool { return version(first) == 2 })
+	g.until("all tables", func() bool { return len(first.View().Cursors) == len(lovageyard.FollowedTables()) })
+	clock.Advance(time.Second)
+	g.c.Assert(first.View().Ready, qt.IsFalse)
+	g.putVersion(3)
+	g.until("readiness", func() bool {
+		clock.Advance(time.Second)
+		return first.View().Ready
+	})
+	g.until("version 3", func() bool {
+		clock.Advance(time.Second)
+		return version(first) == 3
+	})
+	// The era is recorded, so that later instances need not wait.
+	g.until("the record", func() bool { return g.store.Has("lovageyard-eras", "era") })
+}
+
+// An instance that starts long after a restore is ready at once: another instance has recorded the era, or tells
+// it, also if the store can't be reached.
+func TestInstanceStartsAtOnceInASettledEra(t *testing.T) {
+	for _, address := range []string{"", "127.0.0.1:1"} {
+		g := newGroup(t)
+		g.store.Restore(g.store.Checkpoint())
+		first := g.start("entry-0", 1, g.address)
+		g.until("readiness", func() bool { return first.View().Ready })
+		g.until("the record", func() bool { return g.store.Has("lovageyard-eras", "era") })
+		time.Sleep(2 * time.Second)
+		client := platform.NewStore(cmp.Or(address, g.address), discardLogger())
+		settings := g.settings("entry-1", 1, client, client, "entry-0:2")
+		// The clock stands still, so that no time passes in which the era would settle by itself.
+		clock := timer.NewManual(time.Unix(1000, 0))
+		settings.Timer = clock
+		second := g.startWith(settings)
+		step := time.Duration(0)
+		if address != "" {
+			// Peers are asked after a while.
+			step = 10 * time.Millisecond
+		}
+		advanced := time.Duration(0)
+		g.until("readiness", func() bool {
+			if advanced < time.Second {
+				clock.Advance(step)
+				advanced += step
+			}
+			return second.View().Ready
+		})
+		g.stop("entry-1")
+		g.stop("entry-0")
+	}
+}
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -204,6 +204,7 @@
 	if row := reply.GetConfiguration(); row != nil {
 		c.applyLostConfiguration(row)
 	}
+	c.applySettled(reply)
 	c.recordConfirmation(reply.GetConfirmation(), requestedAt)
 }
 
--- a/ports.go
+++ b/ports.go
@@ -54,7 +54,8 @@
 
 // Position is a point in the history of the platform's store. The store begins a new era when it is
 // restored from an older copy of itself. It then assigns versions again, so that the versions of
-// different eras say nothing about each other. Era 0 means that the store does not report eras.
+// different eras say nothing about each other. Era 0 means that the store was never restored,
+// or does not report eras.
 type Position struct {
 	Era     int64
 	Version int64
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -112,6 +112,8 @@
 		return d.restartServer(d.pickServer(f.Target))
 	case replaceVersions:
 		return d.replaceVersions()
+	case restoreStore:
+		d.restoreStore(f)
 	case poisonRequest:
 		d.sendPoison(f)
 	case limitServer, backOffServer, leaveInAnswers:
--- a/soak/main.go
+++ b/soak/main.go
@@ -30,6 +30,7 @@
 	Out          string        `default:"../out/soak" help:"Directory for the logs of each run."`
 	Further      bool          `default:"true" negatable:"" help:"Restart servers under their names, write foreign entries, large configurations over narrow links to the store."`
 	Deadly       bool          `default:"true" negatable:"" help:"Send requests that end the servers which run them."`
+	Restores     bool          `default:"true" negatable:"" help:"Restore the store from copies that are some seconds old."`
 	Backpressure bool          `help:"Play servers that ask for less in their answers, beside faults of instances and of the store only."`
 	Before       string        `help:"Commit of an older version, from which all instances start, are replaced in turn by this one, and go back again; there are no faults then."`
 	Show         bool          `help:"Print the plan of each run."`
@@ -147,6 +148,9 @@
 	if o.Deadly {
 		plan = addPoison(plan, seed, o.Span)
 	}
+	if o.Restores {
+		plan = addRestores(plan, seed, o.Span)
+	}
 	if o.Backpressure {
 		plan = backpressurePlan(seed, o.Span)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -45,6 +45,7 @@
 
 	poisonRequest   kind = "deadly-request"
 	replaceVersions kind = "replace-versions"
+	restoreStore    kind = "restore-store"
 )
 
 // faultKinds disturb the system; plannedKinds are routine operations, during which no request may be cut.
@@ -64,6 +65,7 @@
 	furtherStream = 1
 	poisonStream  = 2
 	versionStream = 3
+	restoreStream = 4
 )
 
 // fault is one entry of a plan. At is relative to the start of the run.
@@ -134,5 +136,5 @@
 
 // isPlanned reports whether a kind is a planned operation or backpressure, during which no request may be cut.
 func (k kind) isPlanned() bool {
-	return slices.Contains(plannedKinds, k) || slices.Contains([]kind{largeConfiguration, replaceVersions, limitServer, backOffServer, leaveInAnswers}, k)
+	return slices.Contains(plannedKinds, k) || slices.Contains([]kind{largeConfiguration, replaceVersions, restoreStore, limitServer, backOffServer, leaveInAnswers}, k)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -56,6 +56,11 @@
 	testSeeds(t, o, []uint64{7123})
 }
 
+// Runs in which the store is restored from older copies, together with the faults of the base plan.
+func TestRestoreSeedsRunWithoutViolations(t *testing.T) {
+	testSeeds(t, options{Restores: true, Span: 12 * time.Second}, []uint64{defaultSeed, 2})
+}
+
 // A run with servers that announce rate limits, request a backoff, or announce only in their answers that they
 // are leaving.
 func TestBackpressureSeedRunsWithoutViolations(t *testing.T) {
--- a/steering.go
+++ b/steering.go
@@ -68,6 +68,9 @@
 	// TableQuarantine holds the requests that are refused because they crash servers. An
 	// instance reads it once, when it starts.
 	TableQuarantine = "holds"
+	// TableEras holds one row, which records when the store's current era was noticed. An instance
+	// reads it when it starts.
+	TableEras = "eras"
 )
 
 // FollowedTables lists the tables whose changes each entry instance watches.
