soak: the store is restored from copies that are some seconds old

A restore is no excuse for what an instance already knew.

The stand-in now writes again only what a restore has undone, and a server whose own entry is back counts as back.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -65,8 +65,10 @@
 	serverCount int
 	version     uint64
 	// extraRoutes is the number of routes of the configuration that no caller uses.
-	extraRoutes   int
-	acceptedAt    time.Time
+	extraRoutes int
+	acceptedAt  time.Time
+	// overwritten holds the servers whose entries another program has overwritten.
+	overwritten   map[string]bool
 	harnessErrors []string
 	// withoutAccounts disables client accounts, which an older version of the daemon may not support.
 	withoutAccounts bool
@@ -85,7 +87,7 @@
 // newDeployment starts a deployment. The instances run the previous version if there are two. On an error
 // it may return a partial deployment, which the caller must close.
 func newDeployment(p programs, out string, instances, servers int, check *checker) (*deployment, error) {
-	d := &deployment{check: check, store: fake.NewStore(), proxies: make(map[string]*toxiproxy.Proxy), withoutAccounts: p.previous != p.current}
+	d := &deployment{check: check, store: fake.NewStore(), proxies: make(map[string]*toxiproxy.Proxy), overwritten: make(map[string]bool), withoutAccounts: p.previous != p.current}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -221,9 +221,11 @@
 	}
 	b.unavailable = true
 	d.mu.Unlock()
-	d.store.Put("servers", b.Name, foreignEntries[len(b.Name+b.Address)%len(foreignEntries)])
+	d.store.PutForeign("servers", b.Name, foreignEntries[len(b.Name+b.Address)%len(foreignEntries)])
 	d.check.RecordLeaving(b.Name)
+	d.setOverwritten(b.Name, true)
 	time.Sleep(duration + leaveBound)
+	d.setOverwritten(b.Name, false)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.check.RecordReturn(b.Name)
@@ -232,6 +234,13 @@
 	return nil
 }
 
+// setOverwritten records whether another program has overwritten a server's entry.
+func (d *deployment) setOverwritten(name string, overwritten bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.overwritten[name] = overwritten
+}
+
 // restartServer stops a server and starts it again under the same name at another address.
 func (d *deployment) restartServer(b *backend) error {
 	d.mu.Lock()
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -65,6 +65,18 @@
 	d.check.RecordFault(affectsStore, start, time.Now())
 }
 
+// recordUndoneOverwrites records the servers whose own entries are in the store again, as the restore has undone
+// what another program had written.
+func (d *deployment) recordUndoneOverwrites() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, overwritten := range d.overwritten {
+		if overwritten && d.store.HasLast("servers", name) {
+			d.check.RecordReturn(name)
+		}
+	}
+}
+
 // restoreFrom restores the store, which is away for a moment in one of several ways.
 func (d *deployment) restoreFrom(copied fake.Checkpoint, way int) {
 	switch way {
@@ -77,6 +89,7 @@
 	}
 	time.Sleep(restoreOutage / 2)
 	d.store.Restore(copied)
+	d.recordUndoneOverwrites()
 	if way == restoreOvertaking {
 		d.store.Rewrite()
 		for n := range overtakingWrites {
