--- a/charge/store_test.go
+++ b/charge/store_test.go
@@ -258,3 +258,18 @@
 		qt.New(t).Assert(CheckKey(test.key) == nil, qt.Equals, test.ok)
 	}
 }
+
+// The platform's store comes back from a copy that is older than the claim, and the request is sent again, to
+// either instance. It must not run a second time.
+func TestClaimHoldsAfterARestoreOfTheStore(t *testing.T) {
+	h := newHarness(t)
+	copied := h.table.Checkpoint()
+	held, _, err := h.claim(h.a, "hash")
+	h.c.Assert(err, qt.IsNil)
+	h.a.Record(held, Answer{Status: 201, Whole: true})
+	h.table.Restore(copied)
+	for _, s := range []*Store{h.a, h.b} {
+		again, _, _ := h.claim(s, "hash")
+		h.c.Check(again, qt.IsNil)
+	}
+}
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -65,6 +65,7 @@
 
 // The store comes back from an older copy and assigns versions again that the instances have seen.
 func TestConfigurationAfterARestoreIsInForce(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	g.putServer("a", lovageyard.StateLive)
 	controls := g.startFleet()
@@ -85,6 +86,7 @@
 
 // A server's entry says that it is leaving, at a version that had been assigned before the restore.
 func TestServerLeavingAfterARestoreIsSeen(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	g.putServer("a", lovageyard.StateLive)
 	controls := g.startFleet()
@@ -106,6 +108,7 @@
 // While the store is away, versions of the new era pass those that the instances have read. A watch after
 // them is not refused, but what was written below them would be missed.
 func TestVersionsThatPassTheCursorAreReadFromTheBeginning(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	g.putServer("a", lovageyard.StateLive)
 	controls := g.startFleet()
@@ -129,6 +132,7 @@
 // The second restore comes before all instances have noticed the first one, and answers of both eras before
 // arrive late.
 func TestStoreRestoredTwiceInARow(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	g.putServer("a", lovageyard.StateLive)
 	controls := g.startFleet()
@@ -155,6 +159,7 @@
 
 // An instance that can't reach the store follows the new era through its peers.
 func TestInstanceWithoutPlatformNoticesARestoreFromItsPeers(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	g.putServer("a", lovageyard.StateLive)
 	g.start("entry-0", 1, g.address)
@@ -176,6 +181,7 @@
 // A configuration that the store has lost stays in force, and reaches an instance that starts before the
 // operator has written it again.
 func TestLostConfigurationReachesAnInstanceThatStarts(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	g.putServer("a", lovageyard.StateLive)
 	first := g.start("entry-0", 1, g.address)
@@ -195,6 +201,7 @@
 // The store loses the row of an instance that has just been written. Instances that start before it is written
 // again would divide common limits among too few: "cold server i-7 got 1-1496, request 7 in 1s" (allowed 6).
 func TestRowOfAnInstanceIsWrittenAgainSoonAfterARestore(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	copied := g.store.Checkpoint()
 	client := platform.NewStore(g.address, discardLogger())
@@ -220,6 +227,7 @@
 // A peer that had found this instance to be silent removes its row, or a removal from before a restore is
 // committed late, as the row has the same version again.
 func TestRowOfAnInstanceIsWrittenAgainAfterARemoval(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	control := g.start("entry-0", 1, g.address)
 	defer g.stop("entry-0")
@@ -246,6 +254,7 @@
 // An instance that is cut off from all others must not lose its share of common limits to them when the store
 // loses its row.
 func TestInstanceWhoseRowIsLostKeepsItsShareOfLimits(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	copied := g.store.Checkpoint()
 	client := platform.NewStore(g.address, discardLogger())
@@ -265,6 +274,7 @@
 
 // A relay that has not noticed the new era yet must not keep its followers waiting, nor be followed.
 func TestRelayInAnEarlierEraAnswersAtOnce(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	control := g.start("entry-0", 1, g.address)
 	defer g.stop("entry-0")
@@ -283,6 +293,7 @@
 // During a rolling upgrade, a peer of an older version does not state its era. It must not get whole tables
 // each time.
 func TestOlderPeerComparesVersionsWithoutEras(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	control := g.start("entry-0", 1, g.address)
 	defer g.stop("entry-0")
@@ -304,6 +315,7 @@
 // An instance that starts just after a restore must not serve by what the copy has: "server i-3 got 3-2182, whose
 // key was revoked more than 5s before". The store has lost the newest configuration, and no peer has it.
 func TestInstanceStartsOnlyOnceTheEraHasSettled(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	g.putVersion(2)
 	g.store.Restore(g.store.Checkpoint())
@@ -336,6 +348,7 @@
 // An instance that starts long after a restore is ready at once: another instance has recorded the era, or tells
 // it, also if the store can't be reached.
 func TestInstanceStartsAtOnceInASettledEra(t *testing.T) {
+	t.Parallel()
 	for _, address := range []string{"", "127.0.0.1:1"} {
 		g := newGroup(t)
 		g.store.Restore(g.store.Checkpoint())
