--- a/fleet/control.go
+++ b/fleet/control.go
@@ -128,8 +128,8 @@
 	digestSentAt       time.Time
 	// silentSince is when this instance first found that the row's instance was not a member, by row key.
 	silentSince map[string]time.Time
-	// settled is set once the rows can be relied on after the start; settleAt is when they can if nothing else
-	// tells, and restoreNoticedAt when this incarnation noticed a restore of the platform's store, as
+	// settled is set once the rows can be relied on after the start; settleAt is when they can at the latest,
+	// and restoreNoticedAt when this incarnation noticed a restore of the platform's store, as
 	// lovageyard.Timer's elapsed time.
 	settled          bool
 	settleAt         time.Time
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -190,7 +190,7 @@
 	c.waiters = kept
 }
 
-// mayWait reports whether there is nothing to tell the sender of a request yet.
+// mayWait reports whether the answer to a request may wait, as there is nothing new for its sender.
 func (c *Control) mayWait(r *wire.ShareRequest, changes []*wire.TableChanges) bool {
 	return len(changes) == 0 && !c.isPlatformUnavailable() && !c.isInEarlierEra(r) && !c.lacksLostConfiguration(r)
 }
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -345,8 +345,8 @@
 	g.until("the record", func() bool { return g.store.Has("lovageyard-eras", "era") })
 }
 
-// An instance that starts long after a restore is ready at once: another instance has recorded the era, or tells
-// it, also if the store can't be reached.
+// An instance that starts long after a restore is ready at once: another instance has recorded the era, or answers
+// that it has settled, also if the store can't be reached.
 func TestInstanceStartsAtOnceInASettledEra(t *testing.T) {
 	t.Parallel()
 	for _, address := range []string{"", "127.0.0.1:1"} {
