charge: claims survive a restore of the platform from an older copy

What callers saw: nothing was reported. Over processes (four instances, 20 charges, the platform restored from a copy of before them, each charge repeated with its key) all 20 charges ran two times.

Cause: a claim keeps a key from running again only as long as its row exists. A restored store has lost the latest rows, so that an insert on the condition that there is none succeeds. The holder did not look after its row, and the package did not know of eras. Outcomes recorded after the restore were dropped as superseded.

Ruled out: a condition on a row that states the era, as a copy has that row at the same version.

Change: Table.Era is the latest era that a response has stated. An inserted claim is used only if the era has settled after the response. Instances remember their claims for 10 minutes, write lost ones again in a new era, and accept new keys 30 s after the era was first noticed. What may have run supersedes what did not.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -48,6 +48,7 @@
 	pool     *server.Pool
 	front    *httptest.Server
 	client   *http.Client
+	platform *memory.Store
 
 	mu        sync.Mutex
 	decisions []lovageyard.Decision
@@ -116,7 +117,8 @@
 		})
 	}
 	client := link.New(link.LoadHeaderCodec{}, timer.Clock{}, nil)
-	charges := charge.NewStore(memory.NewStore(), timer.Clock{}, "near-1/1")
+	h.platform = memory.NewStore()
+	charges := charge.NewStore(h.platform, timer.Clock{}, "near-1/1")
 	handler := NewHandler(Settings{
 		Source:   h,
 		Observer: h,
@@ -458,6 +460,20 @@
 	return request
 }
 
+// TestChargeIsRefusedWithATimeAfterARestore checks that a new key is refused as not run after a restore of the
+// platform, with the time until it can be claimed.
+func TestChargeIsRefusedWithATimeAfterARestore(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(t, newBackend(t, answerOK))
+	h.platform.Restore(h.platform.Checkpoint())
+	response, err := h.client.Do(post(c, h.front.URL+"/charges/1", "key-1", "x"))
+	c.Assert(err, qt.IsNil)
+	response.Body.Close()
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.Header.Get(lovageyard.VerdictHeader), qt.Equals, string(lovageyard.VerdictNotRun))
+	c.Assert(response.Header.Get("Retry-After"), qt.Matches, "(29|30)")
+}
+
 // TestChargeRunsAtMostOnce sends a second request after each outcome of the first one, with the same key or
 // another, and checks whether a server runs it.
 func TestChargeRunsAtMostOnce(t *testing.T) {
--- a/caller/charge.go
+++ b/caller/charge.go
@@ -73,10 +73,14 @@
 
 // retryAfterClaim returns the retry time after a failed claim, or 0 if a retry with the key may not succeed.
 func (x *exchange) retryAfterClaim(failure *lovageyard.RequestError) time.Duration {
-	if failure.Verdict == lovageyard.VerdictNotRun {
-		return claimRetryAfter
+	if failure.Verdict != lovageyard.VerdictNotRun {
+		return 0
 	}
-	return 0
+	var settling *charge.SettlingError
+	if errors.As(failure, &settling) {
+		return max(claimRetryAfter, settling.Remaining)
+	}
+	return claimRetryAfter
 }
 
 // replay sends the stored answer of an earlier run.
--- a/charge/claim.go
+++ b/charge/claim.go
@@ -79,6 +79,11 @@
 	return c.State
 }
 
+// isAnswered reports whether the request ran and its whole answer is known.
+func (c *Claim) isAnswered() bool {
+	return c.State == Recorded && c.Answer != nil && c.Answer.Whole
+}
+
 // apply applies an event to the claim's state, or returns an error if the state does not allow it.
 func (c *Claim) apply(event string) error {
 	m := fsm.NewFSM(string(c.State), fsm.Events{
@@ -94,6 +99,25 @@
 	return nil
 }
 
+// supersedes reports whether c replaces another claim of its key that a restored store has. What may have run
+// replaces what did not. The attempts of the two are not compared, as they may have been counted in different
+// eras.
+func (c *Claim) supersedes(o *Claim) bool {
+	switch {
+	case o.State == Recorded:
+		return false
+	case c.State == Recorded:
+		return true
+	case o.SettledBy != "" && o.Attempt >= c.Attempt:
+		return false
+	case c.Holder == o.Holder:
+		return o.State == Claimed && c.State != Claimed
+	case c.State == Released:
+		return false
+	}
+	return o.State != Unknown
+}
+
 // HashRequest returns a hash of a request, in hexadecimal. A key that is used with another hash is rejected.
 func HashRequest(method, target string, body []byte) string {
 	digest := sha256.New()
--- a/charge/store.go
+++ b/charge/store.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
 )
@@ -37,8 +39,10 @@
 // HeldClaim is a claim that this instance holds. It permits the instance to send the request.
 type HeldClaim struct {
 	Claim
-	// version is the version of the claim's row, or 0 if it is not known whether the row exists.
+	// version is the version of the claim's row in an era of the store, or 0 if it is not known whether the
+	// row exists.
 	version int64
+	era     int64
 }
 
 // Store stores the claims of one entry instance in the platform's table. It is safe for concurrent use.
@@ -49,34 +53,69 @@
 	sequence atomic.Int64
 	backlog  chan pendingWrite
 	stop     chan struct{}
-	worker   sync.WaitGroup
+	workers  sync.WaitGroup
+	logger   *logrus.Logger
+	recent   *recentClaims
+	// restored signals that a later era was observed.
+	restored chan struct{}
+
+	eraMu sync.Mutex
+	era   int64
+	// settledAt is when claims of the era can be relied on, and eraObservedAt when another part of the program
+	// reported the era, both by the timer's Elapsed.
+	settledAt     time.Duration
+	eraObservedAt time.Duration
+
+	// rewrittenEra is the era in which lost claims were last written again. Only eraLoop uses it.
+	rewrittenEra int64
 }
 
-// pendingWrite is an update of a claim that failed and is to be retried.
+// pendingWrite is an update of a claim that failed and is to be retried. Its claim has the new state.
 type pendingWrite struct {
-	held  *HeldClaim
-	event string
+	held  HeldClaim
 	since time.Time
 }
 
+// Option changes a Store that NewStore creates.
+type Option func(s *Store)
+
+// WithLogger makes a Store log to logger. By default it does not log.
+func WithLogger(logger *logrus.Logger) Option {
+	return func(s *Store) { s.logger = logger }
+}
+
 // NewStore returns a store. The holder's name is part of its claims, and has to be unique to this incarnation
 // of the instance. Close releases the store's resources.
-func NewStore(table lovageyard.Table, timer lovageyard.Timer, holder string) *Store {
+func NewStore(table lovageyard.Table, timer lovageyard.Timer, holder string, options ...Option) *Store {
+	s := newStore(table, timer, holder, options)
+	s.workers.Go(s.retryLoop)
+	s.workers.Go(s.eraLoop)
+	return s
+}
+
+// newStore returns a store whose background work has not started.
+func newStore(table lovageyard.Table, timer lovageyard.Timer, holder string, options []Option) *Store {
 	s := &Store{
-		table:   table,
-		timer:   timer,
-		holder:  holder,
-		backlog: make(chan pendingWrite, backlogSize),
-		stop:    make(chan struct{}),
+		table:    table,
+		timer:    timer,
+		holder:   holder,
+		backlog:  make(chan pendingWrite, backlogSize),
+		stop:     make(chan struct{}),
+		logger:   logrus.New(),
+		recent:   newRecentClaims(),
+		restored: make(chan struct{}, 1),
+	}
+	s.logger.SetOutput(io.Discard)
+	for _, apply := range options {
+		apply(s)
 	}
-	s.worker.Go(s.retryLoop)
 	return s
 }
 
-// Close stops the retries and waits for the one in progress. Updates that are still in the backlog are dropped.
+// Close stops the retries and waits for those in progress. Updates that are still in the backlog are dropped.
 func (s *Store) Close() {
 	close(s.stop)
-	s.worker.Wait()
+	s.workers.Wait()
 }
 
 // Request describes a request that is to run at most once. SendBefore is the time after which it is not sent
@@ -102,22 +141,52 @@
 		ClaimedAt:  s.timer.Now(),
 		SendBefore: r.SendBefore,
 	}
+	if known, found := s.recent.get(RowKey(r.Class, r.Key)); found && known.isAnswered() {
+		return s.resolveConflict(ctx, next, known, 0)
+	}
+	if s.unsettledTime() > 0 {
+		return s.claimWhileSettling(ctx, next)
+	}
 	held, row, err := s.insert(ctx, next, 0)
 	if err != nil || held != nil {
 		return held, nil, err
 	}
-	return s.resolveConflict(ctx, next, row)
+	return s.resolveRow(ctx, next, row)
+}
+
+// claimWhileSettling answers from the store's claim for the key if there is one, and refuses a new key.
+func (s *Store) claimWhileSettling(ctx context.Context, next Claim) (*HeldClaim, *Answer, error) {
+	row, err := s.table.Read(ctx, lovageyard.TableClaims, RowKey(next.Class, next.Key))
+	switch {
+	case errors.Is(err, lovageyard.ErrNotFound):
+		return nil, nil, s.settlingError(next)
+	case err != nil:
+		return nil, nil, lovageyard.NotRun(reasonUnclaimed, err)
+	}
+	return s.resolveRow(ctx, next, row)
+}
+
+// settlingError returns the error for a key that can't be claimed until the era has settled.
+func (s *Store) settlingError(next Claim) error {
+	cause := &SettlingError{Remaining: s.unsettledTime()}
+	known, found := s.recent.get(RowKey(next.Class, next.Key))
+	if found && known.State != Released {
+		return lovageyard.MayHaveRun("a request with this key is "+string(known.StateAt(s.timer.Now())), cause)
+	}
+	return lovageyard.NotRun(reasonUnclaimed, cause)
 }
 
 // insert writes a claim if the row still has the given version. It returns the row if another request has
 // written it.
 func (s *Store) insert(ctx context.Context, c Claim, version int64) (*HeldClaim, lovageyard.Row, error) {
 	noRow := lovageyard.Row{}
+	era := s.table.Era()
 	accepted, err := s.put(ctx, c, version)
 	var conflict *lovageyard.ConflictError
 	switch {
 	case err == nil:
-		return &HeldClaim{Claim: c, version: accepted}, noRow, nil
+		held, err := s.accept(&HeldClaim{Claim: c, version: accepted, era: era})
+		return held, noRow, err
 	case errors.As(err, &conflict):
 		return nil, conflict.Row, nil
 	case !errors.Is(err, lovageyard.ErrUnknownOutcome):
@@ -126,11 +195,31 @@
 	return s.readBack(ctx, c, err)
 }
 
+// accept returns an inserted claim for use, unless the store was restored meanwhile: it may have lost an earlier
+// claim with the key. The inserted one is then released.
+func (s *Store) accept(h *HeldClaim) (*HeldClaim, error) {
+	if s.unsettledTime() > 0 {
+		err := s.settlingError(h.Claim)
+		s.releaseUnused(h)
+		return nil, err
+	}
+	s.recent.put(h.Claim, s.timer.Elapsed())
+	return h, nil
+}
+
+// releaseUnused releases a claim in the background whose request was refused.
+func (s *Store) releaseUnused(h *HeldClaim) {
+	released := *h
+	released.State = Released
+	s.enqueue(pendingWrite{held: released, since: s.timer.Now()})
+}
+
 // readBack determines the outcome of an insert whose response was lost. If it cannot, the request is refused,
 // and the row is released later in case it exists.
 func (s *Store) readBack(ctx context.Context, c Claim, lost error) (*HeldClaim, lovageyard.Row, error) {
 	noRow := lovageyard.Row{}
 	for range maxReadAttempts {
+		era := s.table.Era()
 		row, err := s.table.Read(ctx, lovageyard.TableClaims, RowKey(c.Class, c.Key))
 		if errors.Is(err, lovageyard.ErrNotFound) {
 			break
@@ -143,20 +232,26 @@
 			return nil, noRow, lovageyard.NotRun("the claim could not be read", err)
 		}
 		if found.Holder == c.Holder {
-			return &HeldClaim{Claim: c, version: row.Version}, noRow, nil
+			held, err := s.accept(&HeldClaim{Claim: c, version: row.Version, era: era})
+			return held, noRow, err
 		}
 		return nil, row, nil
 	}
-	s.enqueue(pendingWrite{held: &HeldClaim{Claim: c}, event: eventRelease, since: s.timer.Now()})
+	s.releaseUnused(&HeldClaim{Claim: c})
 	return nil, noRow, lovageyard.NotRun(reasonUnclaimed, lost)
 }
 
-// resolveConflict handles a request whose key another request has claimed.
-func (s *Store) resolveConflict(ctx context.Context, next Claim, row lovageyard.Row) (*HeldClaim, *Answer, error) {
+// resolveRow handles a request whose key has a claim in the store.
+func (s *Store) resolveRow(ctx context.Context, next Claim, row lovageyard.Row) (*HeldClaim, *Answer, error) {
 	known, err := decode(row)
 	if err != nil {
 		return nil, nil, lovageyard.NotRun("the claim could not be read", err)
 	}
+	return s.resolveConflict(ctx, next, known, row.Version)
+}
+
+// resolveConflict handles a request whose key another request has claimed, in a row with the given version.
+func (s *Store) resolveConflict(ctx context.Context, next, known Claim, version int64) (*HeldClaim, *Answer, error) {
 	if known.Hash != next.Hash {
 		return nil, nil, ErrKeyReused
 	}
@@ -164,12 +259,15 @@
 	case Recorded:
 		return nil, known.Answer, nil
 	case Released:
-		return s.reclaim(ctx, next, known, row.Version)
+		return s.reclaim(ctx, next, known, version)
 	}
 	return nil, nil, lovageyard.MayHaveRun("a request with this key is "+string(known.StateAt(s.timer.Now())), nil)
 }
 
 func (s *Store) reclaim(ctx context.Context, next, known Claim, version int64) (*HeldClaim, *Answer, error) {
+	if s.unsettledTime() > 0 {
+		return nil, nil, s.settlingError(next)
+	}
 	next.Attempt = known.Attempt + 1
 	held, _, err := s.insert(ctx, next, version)
 	if err == nil && held == nil {
@@ -196,9 +294,15 @@
 
 // update writes an update now, or schedules it for a retry if the platform does not accept it.
 func (s *Store) update(h *HeldClaim, event string) {
+	updated := *h
+	if err := updated.apply(event); err != nil {
+		s.logger.WithError(err).WithField("key", RowKey(h.Class, h.Key)).Warn("a claim is not updated")
+		return
+	}
+	s.recent.put(updated.Claim, s.timer.Elapsed())
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
-	w := pendingWrite{held: h, event: event, since: s.timer.Now()}
+	w := pendingWrite{held: updated, since: s.timer.Now()}
 	if !s.attempt(ctx, w) {
 		s.enqueue(w)
 	}
@@ -207,25 +311,24 @@
 // attempt tries an update once. It returns true if no retry is needed: the update was written, or superseded
 // by another.
 func (s *Store) attempt(ctx context.Context, w pendingWrite) bool {
-	c := w.held.Claim
-	if c.apply(w.event) != nil {
-		return true
-	}
-	version := w.held.version
-	if version == 0 {
-		row, err := s.table.Read(ctx, lovageyard.TableClaims, RowKey(c.Class, c.Key))
-		if err != nil {
+	if w.held.version != 0 && w.held.era == s.table.Era() {
+		_, err := s.put(ctx, w.held.Claim, w.held.version)
+		var conflict *lovageyard.ConflictError
+		switch {
+		case err == nil:
+			return true
+		case !errors.As(err, &conflict):
 			return false
-		}
-		found, err := decode(row)
-		if err != nil || found.Holder != c.Holder {
+		case w.held.era == s.table.Era():
 			return true
 		}
-		version = row.Version
 	}
-	_, err := s.put(ctx, c, version)
-	var conflict *lovageyard.ConflictError
-	return err == nil || errors.As(err, &conflict)
+	err := s.writeIfSuperseding(ctx, w.held.Claim)
+	if errors.Is(err, lovageyard.ErrNotFound) {
+		// An insert whose outcome is unknown may still be committed.
+		return w.held.version != 0
+	}
+	return err == nil || errors.Is(err, errSuperseded)
 }
 
 func (s *Store) put(ctx context.Context, c Claim, version int64) (int64, error) {
@@ -273,18 +376,25 @@
 		if done {
 			return true
 		}
-		timer := s.timer.After(retryInterval)
-		select {
-		case <-timer.C():
-			timer.Close()
-		case <-s.stop:
-			timer.Close()
+		if !s.sleep(retryInterval) {
 			return false
 		}
 	}
 	return true
 }
 
+// sleep returns false if the store is closed before d has passed.
+func (s *Store) sleep(d time.Duration) bool {
+	timer := s.timer.After(d)
+	defer timer.Close()
+	select {
+	case <-timer.C():
+		return true
+	case <-s.stop:
+		return false
+	}
+}
+
 func decode(row lovageyard.Row) (Claim, error) {
 	var c Claim
 	err := json.Unmarshal(row.Value, &c)
--- a/control/control.go
+++ b/control/control.go
@@ -53,8 +53,10 @@
 
 // Settings holds the dependencies and parameters of a Control.
 type Settings struct {
-	Self      lovageyard.EntryInstance
-	Table     lovageyard.Table
+	Self  lovageyard.EntryInstance
+	Table lovageyard.Table
+	// Eras is notified of the era at each read of the platform and each reply of a relay. It may be nil.
+	Eras      lovageyard.EraObserver
 	Objects   lovageyard.ObjectStore
 	Instances lovageyard.InstanceList
 	Backend   lovageyard.Backend
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -165,6 +165,7 @@
 	}
 	if slices.Contains(c.relays(), from.Name) {
 		c.relayReplyAt = now
+		c.notifyEra()
 	}
 }
 
--- a/control/platform.go
+++ b/control/platform.go
@@ -62,6 +62,14 @@
 		return
 	}
 	c.applyChanges(m.changes)
+	c.notifyEra()
+}
+
+// notifyEra reports the era of the configuration, which was just compared with the platform's or a relay's.
+func (c *Control) notifyEra() {
+	if c.settings.Eras != nil {
+		c.settings.Eras.ObserveEra(c.config.Position().Era)
+	}
 }
 
 // applyChanges applies configuration changes from the platform or a peer.
--- a/integration/charge_test.go
+++ b/integration/charge_test.go
@@ -133,15 +133,21 @@
 	d.put("http://"+d.platform+"/standin/faults", f)
 }
 
-// check compares the verdicts that the clients received with what the servers ran.
-func (cc *chargeClient) check() {
-	c := cc.deployment.c
+// runsByKey returns how often the servers ran the request of each idempotency key.
+func (d *deployment) runsByKey() map[string]int {
 	runs := make(map[string]int)
-	for _, s := range cc.deployment.servers {
-		for key, n := range cc.deployment.counts(s).Keys {
+	for _, s := range d.servers {
+		for key, n := range d.counts(s).Keys {
 			runs[key] += n
 		}
 	}
+	return runs
+}
+
+// check compares the verdicts that the clients received with what the servers ran.
+func (cc *chargeClient) check() {
+	c := cc.deployment.c
+	runs := cc.deployment.runsByKey()
 	for key, n := range runs {
 		c.Check(n, qt.Equals, 1, qt.Commentf("%s ran %d times", key, n))
 	}
--- a/lovageyardd/daemon.go
+++ b/lovageyardd/daemon.go
@@ -141,9 +141,11 @@
 	}
 	registry := metrics.NewRegistry()
 	recorder := decision.NewLog(logger)
+	d.charges = charge.NewStore(d.platform, clock, fmt.Sprintf("%s/%d", self.Name, self.Incarnation), charge.WithLogger(logger))
 	d.control = control.New(control.Settings{
 		Self:          self,
 		Table:         d.platform,
+		Eras:          d.charges,
 		Objects:       d.platform,
 		Instances:     d.platform,
 		Backend:       d.link,
@@ -160,7 +162,6 @@
 		LeaseDuration: o.LeaseSpan,
 		Seed:          uint64(self.Incarnation),
 	})
-	d.charges = charge.NewStore(d.platform, clock, fmt.Sprintf("%s/%d", self.Name, self.Incarnation))
 	handler := caller.NewHandler(caller.Settings{
 		Source:   d.control,
 		Observer: d.control,
--- a/ports.go
+++ b/ports.go
@@ -112,6 +112,14 @@
 	// Changes returns the changes to the tables after a position. If the platform no longer has
 	// them, it returns all rows as changes after version 0.
 	Changes(ctx context.Context, tables []string, after Position) (Changes, error)
+	// Era returns the latest era that a response has reported; see Position. A method that returns
+	// has noted the era of its response before.
+	Era() int64
+}
+
+// EraObserver notes the current era of the platform's store; see Position. It does not block.
+type EraObserver interface {
+	ObserveEra(era int64)
 }
 
 // Object is one version of an object in the platform's object store.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -71,11 +71,14 @@
 
 	mu      sync.Mutex
 	listLag time.Duration
+	copied  fake.Checkpoint
 }
 
 func newPlatformServer(s *fake.Store) *platformServer {
 	p := &platformServer{store: s, mux: http.NewServeMux()}
 	p.mux.HandleFunc("PUT /standin/faults", p.setFaults)
+	p.mux.HandleFunc("PUT /standin/checkpoint", p.checkpoint)
+	p.mux.HandleFunc("PUT /standin/restore", p.restore)
 	p.mux.HandleFunc("PUT /standin/entry-instances", p.setEntryInstance)
 	p.mux.HandleFunc("PUT /standin/backend-servers", p.setBackendServers)
 	return p
@@ -105,6 +108,21 @@
 	p.listLag = faults.ListLag.Std()
 }
 
+// checkpoint copies the store, for a later restore.
+func (p *platformServer) checkpoint(http.ResponseWriter, *http.Request) {
+	copied := p.store.Checkpoint()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.copied = copied
+}
+
+// restore restores the store from the last copy.
+func (p *platformServer) restore(http.ResponseWriter, *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.store.Restore(p.copied)
+}
+
 func (p *platformServer) setEntryInstance(w http.ResponseWriter, r *http.Request) {
 	var i lovageyard.EntryInstance
 	if decode(w, r, &i) {
