--- a/dispatch/recovery_test.go
+++ b/dispatch/recovery_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard/dispatch"
 )
 
 // warmServers is a load that servers carry with little to spare once they have cached their objects.
@@ -65,3 +67,20 @@
 		})
 	}
 }
+
+// An estimate by which every request is hopeless must not keep all requests refused for good, as no answer corrects
+// it.
+func TestHopelessEstimateFadesWithoutAnswers(t *testing.T) {
+	tt := newTestTable(t)
+	for i := range 100 {
+		choice := tt.table.Choose(dispatch.Request{
+			Now: tt.now, Route: tt.route, Service: "desk", Key: fmt.Sprint(i), Deadline: tt.now.Add(10 * time.Second),
+		})
+		tt.now = tt.now.Add(3 * time.Second)
+		tt.finish(choice, dispatch.Outcome{Answered: true})
+	}
+	tt.c.Assert(tt.choose("k").Cause, qt.Equals, dispatch.CauseDeadline)
+	for start := tt.now; tt.choose("k").Refused; tt.now = tt.now.Add(100 * time.Millisecond) {
+		tt.c.Assert(tt.now.Sub(start) < 15*time.Second, qt.IsTrue)
+	}
+}
