charge: a lost insert delays no other update of a claim

What callers saw: nothing was reported; found by reading. A caller whose charge ran while the platform was away would be told "may have run" for up to 10 minutes in place of the answer, if an insert had been lost just before.

Cause: the backlog was retried one update at a time, each until it succeeded or 10 minutes had passed. The release of an insert that never arrives does not succeed.

Change: each update in the backlog is attempted once a second, and closing waits for one attempt at most, as before. Updates that are given up are logged.

--- a/charge/era.go
+++ b/charge/era.go
@@ -195,10 +195,8 @@
 	claims := s.recent.newestFirst(s.timer.Elapsed())
 	written := 0
 	for _, c := range claims {
-		select {
-		case <-s.stop:
-			return errors.New("closed")
-		default:
+		if s.isClosed() {
+			return errors.New("the store is closed")
 		}
 		changed, err := s.rewrite(c)
 		if err != nil {
--- a/charge/restore_test.go
+++ b/charge/restore_test.go
@@ -131,3 +131,17 @@
 		})
 	}
 }
+
+// TestLostInsertDelaysNoOtherUpdate checks that an insert that was lost, and whose release is therefore retried, does
+// not hold up the answer of another request.
+func TestLostInsertDelaysNoOtherUpdate(t *testing.T) {
+	h := newHarness(t)
+	held, _, err := h.claim(h.a, "hash")
+	h.c.Assert(err, qt.IsNil)
+	h.table.set(func() { h.table.lostBefore = true })
+	_, _, err = h.a.Claim(context.Background(), Request{Class: "charges", Key: "lost", SendBefore: h.clock.Now().Add(time.Second)})
+	h.c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictNotRun)
+	h.a.Record(held, Answer{Status: 201, Whole: true})
+	h.table.set(func() { h.table.lostBefore = false })
+	h.until(func() bool { return h.state() == Recorded })
+}
--- a/charge/store.go
+++ b/charge/store.go
@@ -352,35 +352,40 @@
 	}
 }
 
-// retryLoop retries the updates in the backlog.
+// retryLoop retries the updates in the backlog at an interval.
 func (s *Store) retryLoop() {
-	for {
-		select {
-		case w := <-s.backlog:
-			if !s.retryWrite(w) {
+	for s.sleep(retryInterval) {
+		for range len(s.backlog) {
+			if s.isClosed() {
 				return
 			}
-		case <-s.stop:
-			return
+			s.retryWrite(<-s.backlog)
 		}
 	}
 }
 
-// retryWrite retries an update until it succeeds or retryTimeout has passed. It returns false if the store is
-// closed.
-func (s *Store) retryWrite(w pendingWrite) bool {
-	for s.timer.Now().Sub(w.since) < retryTimeout {
-		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-		done := s.attempt(ctx, w)
-		cancel()
-		if done {
-			return true
-		}
-		if !s.sleep(retryInterval) {
-			return false
-		}
+// isClosed reports whether Close was called.
+func (s *Store) isClosed() bool {
+	select {
+	case <-s.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// retryWrite attempts an update once more, and schedules the next attempt if that fails, until retryTimeout has
+// passed.
+func (s *Store) retryWrite(w pendingWrite) {
+	if s.timer.Now().Sub(w.since) >= retryTimeout {
+		s.logger.WithField("key", RowKey(w.held.Class, w.held.Key)).Warn("an update of a claim is given up")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	if !s.attempt(ctx, w) {
+		s.enqueue(w)
 	}
-	return true
 }
 
 // sleep returns false if the store is closed before d has passed.
