--- a/charge/doc.go
+++ b/charge/doc.go
@@ -5,4 +5,7 @@
 // A second request with the key gets the stored answer if the first one ran, may claim the key again if it did
 // not run, and is refused while the outcome is open or unknown. Claim holds the state machine, Store the
 // access to the platform.
+//
+// A platform that is restored from an older copy of itself has lost the latest claims. Instances write theirs
+// again, and accept no new keys until that is done (era.go).
 package charge
--- a/charge/store.go
+++ b/charge/store.go
@@ -198,7 +198,7 @@
 // accept returns an inserted claim for use, unless the store was restored meanwhile: it may have lost an earlier
 // claim with the key. The inserted one is then released.
 func (s *Store) accept(h *HeldClaim) (*HeldClaim, error) {
-	if s.unsettledTime() > 0 {
+	if s.unsettledTime() > 0 || h.era != s.table.Era() {
 		err := s.settlingError(h.Claim)
 		s.releaseUnused(h)
 		return nil, err
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -11,7 +11,8 @@
 // queueing, work, speed and recent failures. The share of requests that leaves the region follows
 // that estimate slowly (region.go, spillover.go). Requests wait in the queues of the servers, so that
 // servers are never idle while there is work. A request is refused immediately if no eligible server
-// has room or can answer before the deadline.
+// has room or can answer before the deadline. In a lasting overload, homes accept only requests that they
+// can answer within the goal (overload.go).
 //
 // Limits that hold for all instances together, such as the rate of requests to a cold server and the
 // retry budget, are divided among the instances.
--- a/steering.go
+++ b/steering.go
@@ -68,8 +68,8 @@
 	// TableQuarantine holds the requests that are refused because they crash servers. An
 	// instance reads it once, when it starts.
 	TableQuarantine = "holds"
-	// TableEras holds one row, which records when the store's current era was noticed. An instance
-	// reads it when it starts.
+	// TableEras holds a row that records when the store's current era was noticed. An instance
+	// reads it when it starts. Package charge keeps a row of its own there.
 	TableEras = "eras"
 )
 
