fleet: log which servers are no longer used, and where that was read

Callers' requests reached servers that had left, and the lines could not tell which of four hypotheses holds: nothing is logged when an instance learns that a server leaves.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -104,6 +104,8 @@
 	refusing   bool
 	// dirty is set if the state has changed since the view was published.
 	dirty bool
+	// rowSource is where the rows that were applied last came from, for the log.
+	rowSource string
 	// tablesRequestedAt is when whole tables were last requested from peers.
 	tablesRequestedAt time.Time
 	// relays holds the relays that this instance follows, by address.
@@ -237,6 +239,7 @@
 		c.dirty = true
 	}
 	if c.state.Expire(now) {
+		c.rowSource = sourceExpiry
 		c.dirty = true
 	}
 	if c.expireLostInstances(now) {
@@ -309,33 +312,6 @@
 	return sortedKeys(names)
 }
 
-// logChange logs the differences between two views.
-func (c *Control) logChange(before, after *catalog.View) {
-	if before.Version() != after.Version() {
-		c.settings.Logger.WithFields(logrus.Fields{
-			"version":  after.Version(),
-			"previous": before.Version(),
-			"routes":   len(after.Configuration.Routes),
-		}).Info("configuration in force")
-	}
-	if len(before.Drained) != len(after.Drained) {
-		c.settings.Logger.WithField("failure-domains", sortedKeys(after.Drained)).Info("drained failure domains changed")
-	}
-	// Heartbeats from other regions arrive late and irregularly, and look-ups use those regions only if
-	// the own one has no live instance. So only the total is logged for them.
-	if joined, left := difference(c.inRegion(before.Live), c.inRegion(after.Live)); len(joined)+len(left) > 0 {
-		c.settings.Logger.WithFields(logrus.Fields{
-			"live":   len(after.Live),
-			"region": c.self.Region,
-			"joined": joined,
-			"left":   left,
-		}).Info("live entry instances changed")
-	}
-	if before.Ready != after.Ready {
-		c.settings.Logger.WithField("ready", after.Ready).Info("readiness changed")
-	}
-}
-
 // inRegion returns the instances in this instance's region.
 func (c *Control) inRegion(instances []lovageyard.EntryInstance) []lovageyard.EntryInstance {
 	var own []lovageyard.EntryInstance
@@ -347,24 +323,6 @@
 	return own
 }
 
-// difference returns the names that are only in the second list and those that are only in the first;
-// both lists must be ordered by name.
-func difference(before, after []lovageyard.EntryInstance) (joined, left []string) {
-	for len(before)+len(after) > 0 {
-		switch {
-		case len(before) == 0 || len(after) > 0 && after[0].Name < before[0].Name:
-			joined = append(joined, after[0].Name)
-			after = after[1:]
-		case len(after) == 0 || before[0].Name < after[0].Name:
-			left = append(left, before[0].Name)
-			before = before[1:]
-		default:
-			before, after = before[1:], after[1:]
-		}
-	}
-	return joined, left
-}
-
 // Leave removes this instance from look-ups and notifies its peers. The instance continues to serve
 // requests that it can answer before shutdownAt.
 func (c *Control) Leave(shutdownAt time.Time) {
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -184,6 +184,7 @@
 		return
 	}
 	delete(c.historyLost, m.table)
+	c.rowSource = sourcePlatform
 	if !m.whole && c.hasNewRows(m.changes) {
 		c.recordChangeAge(m.table, 0, now)
 	}
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -198,6 +198,7 @@
 
 // applyReply applies the rows and the confirmation in a peer's reply.
 func (c *Control) applyReply(reply *wire.ShareReply, requestedAt time.Duration, now time.Time) {
+	c.rowSource = reply.GetFrom().GetInstance()
 	for _, t := range reply.GetChanges() {
 		c.applyChanges(t, now)
 	}
