fleet: an instance that has just started reads changes promptly and is no relay

What callers saw: requests reached servers up to 2,209 ms after their departure was acknowledged (2,000 allowed), in a roll of all instances with releases and no fault, at instances that had been running for longer than 3 s.

Cause: for 4 s after its start an instance paused for 2.5 s between two watches of a table. In a roll, the relays of a region may all be in these 4 s, while their followers are not.

Change: the pause ends 2.5 s after the start, before time limits apply to the instance, and until then it tells followers that it is no relay.

Tests, both fail on the code before: TestChangesAreReadPromptlySoonAfterTheStart (a pause of 2.5 s, 2.54 s after the start), TestInstanceThatJustStartedIsNoRelay.

--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -26,10 +26,10 @@
 	coalesceInterval = 200 * time.Millisecond
 	// coalesceIntervalInstances is the same for the table of instances.
 	coalesceIntervalInstances = 3 * time.Second
-	// coalesceIntervalAtStart is the same for all tables during startPeriod, when all servers may be
-	// registering and the relays are not known yet.
-	coalesceIntervalAtStart = 2500 * time.Millisecond
-	startPeriod             = 4 * time.Second
+	// startPeriod is the time after the start in which an instance reads each table at most twice, as all
+	// servers may be registering and the relays are not known yet. It is not used as a relay meanwhile, and
+	// time limits do not apply to an instance that has been running for less than 3 s.
+	startPeriod = 2500 * time.Millisecond
 	// relayCheckInterval is how often an instance that follows relays checks whether it has to watch the
 	// platform itself.
 	relayCheckInterval = 200 * time.Millisecond
@@ -118,13 +118,16 @@
 
 // coalesceIntervalOf returns the pause between two watches of a table.
 func (c *Control) coalesceIntervalOf(table string) time.Duration {
-	switch {
-	case c.settings.Timer.Now().Sub(c.startedAt) < startPeriod:
-		return coalesceIntervalAtStart
-	case table == lovageyard.TableInstances:
-		return coalesceIntervalInstances
+	interval := coalesceInterval
+	if table == lovageyard.TableInstances {
+		interval = coalesceIntervalInstances
 	}
-	return coalesceInterval
+	return max(interval, c.startPeriodLeft())
+}
+
+// startPeriodLeft returns how long startPeriod still lasts; it is negative afterwards.
+func (c *Control) startPeriodLeft() time.Duration {
+	return startPeriod - c.settings.Timer.Now().Sub(c.startedAt)
 }
 
 // readTable makes one call to the platform. It lists the table if the cursor is 0, and watches it otherwise.
--- a/fleet/pause_test.go
+++ b/fleet/pause_test.go
@@ -9,6 +9,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/peer/wire"
+	"lovageyard.example/lovageyard/platform"
 	"lovageyard.example/lovageyard/timer"
 )
 
@@ -107,3 +109,56 @@
 		c.Assert(next(c, "the next watch", feed.watched), qt.Equals, lovageyard.TableOrders)
 	}
 }
+
+// Time limits apply to an instance 3 s after its start. A change that it could have read since must not wait for
+// the end of a long pause: a server that leaves gets no requests 2 s after its departure is accepted.
+func TestChangesAreReadPromptlySoonAfterTheStart(t *testing.T) {
+	const limitsApplyAfter, maxPause = 3 * time.Second, time.Second
+	g := newGroup(t)
+	start := time.Unix(1000, 0)
+	clock := recordingTimer{Manual: timer.NewManual(start), started: make(chan time.Duration, 1000)}
+	feed := blockingFeed{watched: make(chan string, 100), release: make(chan lovageyard.Changes)}
+	s := g.settings("a", 1, feed, &recordingRegistrar{})
+	s.Timer = clock
+	g.startWith(s)
+	defer g.stop("a")
+	version := int64(1)
+	change := func() {
+		g.until("a watch of orders", func() bool {
+			clock.Advance(10 * time.Millisecond)
+			return len(feed.watched) > 0 && <-feed.watched == lovageyard.TableOrders
+		})
+		drain(clock.started)
+		version++
+		removed := lovageyard.Row{Table: lovageyard.TableOrders, Key: "evacuate/north-2", Version: version, Deleted: true}
+		feed.release <- lovageyard.Changes{After: version - 1, To: version, Rows: []lovageyard.Row{removed}}
+		pause := next(g.c, "a pause after the change", clock.started)
+		earliest := clock.Now().Sub(start)
+		g.c.Assert(earliest+pause <= max(limitsApplyAfter, earliest+maxPause), qt.IsTrue,
+			qt.Commentf("a pause of %v, %v after the start", pause, earliest))
+		clock.Advance(pause)
+	}
+	for clock.Now().Sub(start) < 2*limitsApplyAfter {
+		change()
+	}
+}
+
+// An instance that has just started reads the platform rarely, so that others must not rely on it.
+func TestInstanceThatJustStartedIsNoRelay(t *testing.T) {
+	g := newGroup(t)
+	clock := timer.NewManual(time.Unix(1000, 0))
+	client := platform.NewStore(g.address, discardLogger())
+	s := g.settings("a", 1, client, client)
+	s.Timer = clock
+	control := g.startWith(s)
+	defer g.stop("a")
+	isStale := func() bool {
+		reply, err := control.Share(t.Context(), &wire.ShareRequest{From: &wire.Member{}})
+		g.c.Assert(err, qt.IsNil)
+		return reply.GetStale()
+	}
+	g.until("readiness", func() bool { return control.View().Ready })
+	g.c.Assert(isStale(), qt.IsTrue)
+	clock.Advance(3 * time.Second)
+	g.until("the instance is a relay", func() bool { return !isStale() })
+}
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -201,11 +201,16 @@
 	return len(c.failingSince) > 0 || !c.hasAllTables()
 }
 
+// canRelay reports whether peers can rely on this instance to watch the platform for them.
+func (c *Control) canRelay() bool {
+	return !c.isPlatformUnavailable() && c.watchesPlatform.Load() && c.startPeriodLeft() <= 0
+}
+
 func (c *Control) newReply(m shareCall, changes []*wire.TableChanges) *wire.ShareReply {
 	reply := &wire.ShareReply{
 		From:         peer.FromMember(c.self),
 		Changes:      changes,
-		Stale:        c.isPlatformUnavailable() || !c.watchesPlatform.Load() || c.isInEarlierEra(m.request),
+		Stale:        !c.canRelay() || c.isInEarlierEra(m.request),
 		Confirmation: c.confirmation(m.receivedAt),
 		Era:          c.state.Cursor(lovageyard.TableOrders).Era,
 		Settled:      c.hasSettledForPeers(),
