dispatch: a request is not sent to a server that has left since it was chosen

Cause: before the request is sent on a new connection, and before it is sent again, only what the server has said in its answers was asked, not whether the platform still lists it as live.

Change: such a request is withheld if the server leaves, is no longer listed, has restarted, or its failure domain is drained. It has not run and goes to another server.

Test: TestRequestIsNotSentToServerThatLeftSinceTheChoice, all four cases fail on the code before.

--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -104,7 +104,7 @@
 func (t *Table) TakeResend(c Choice, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !c.server.record.Allows(now) {
+	if !t.isInUse(c.server) || !c.server.record.Allows(now) {
 		return false
 	}
 	c.server.record.RecordSend(now)
@@ -112,11 +112,16 @@
 }
 
 // MaySend reports whether the request may still be sent to the server of a choice, which may have
-// requested a backoff or announced its shutdown since.
+// requested a backoff, announced its shutdown, left the platform's list or been drained since.
 func (t *Table) MaySend(c Choice, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !c.server.record.Rejects(now)
+	return t.isInUse(c.server) && !c.server.record.Rejects(now)
+}
+
+// isInUse reports whether a server that was chosen earlier may still get requests, by the platform's list.
+func (t *Table) isInUse(s *server) bool {
+	return t.servers[s.Name] == s && s.isAvailable() && !t.drained[s.FailureDomain]
 }
 
 // backpressureUntil returns the earliest time at which a server accepts the request, among those
--- a/dispatch/record_test.go
+++ b/dispatch/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -212,6 +213,34 @@
 	tt.c.Assert(tt.table.MaySend(choice, tt.now.Add(time.Second)), qt.IsTrue)
 }
 
+// Opening a connection takes time, in which the platform may announce that the chosen server leaves. The request
+// must not be sent then, nor sent again on another connection.
+func TestRequestIsNotSentToServerThatLeftSinceTheChoice(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(tt *testTable, server string)
+	}{
+		{"leaving", func(tt *testTable, server string) { tt.listed(server).State = lovageyard.StateLeaving }},
+		{"removed", func(tt *testTable, server string) {
+			tt.view.Servers = slices.DeleteFunc(tt.view.Servers, func(s catalog.Server) bool { return s.Name == server })
+		}},
+		{"restarted", func(tt *testTable, server string) { tt.listed(server).Incarnation++ }},
+		{"drained", func(tt *testTable, server string) {
+			tt.view.Drained = map[string]bool{tt.listed(server).FailureDomain: true}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tt := newTestTable(t)
+			choice := tt.choose("k")
+			tt.c.Assert(tt.table.MaySend(choice, tt.now), qt.IsTrue)
+			test.change(tt, choice.Server.Name)
+			tt.table.SetCatalog(tt.view, tt.now)
+			tt.c.Assert(tt.table.MaySend(choice, tt.now), qt.IsFalse)
+			tt.c.Assert(tt.table.TakeResend(choice, tt.now), qt.IsFalse)
+		})
+	}
+}
+
 // If all servers have requested a backoff, the retry delay ends when the first backoff does.
 func TestBackoffOfAllServersSetsRetryAfter(t *testing.T) {
 	tt := newTestTable(t)
--- a/link/failure.go
+++ b/link/failure.go
@@ -15,10 +15,10 @@
 	return failure
 }
 
-// withheldError returns the failure of a request that was not sent because the server requested a
-// backoff or no further requests while the connection was opened.
+// withheldError returns the failure of a request that was not sent because the server was no longer to get
+// requests once the connection was open.
 func withheldError() *lovageyard.RequestError {
-	failure := lovageyard.NotRun("the backend server has asked for no more meanwhile", nil)
+	failure := lovageyard.NotRun("the backend server takes no more requests meanwhile", nil)
 	failure.Throttled = true
 	return failure
 }
