fleet: followers know how old their relays' contact with the platform is

Cause: what an instance knows had no age. A call at a relay waited 20 s, so that a relay which does not answer was told from one without news by its missing heartbeats only, after 4 s; a relay whose watches the platform does not answer counted as healthy until one timed out, 2.5 s and 1.2 s after it began. Both were bounded by the wait of a watch, not by what operators need.

Change: relays end a watch of orders or servers at each half contact period at the latest, and report the age of their contact with each read to their followers (message Contact; gossip carries it too). A follower whose newest report is older than 0.65 of the time limit reads the platform itself. All times are shares of the new setting drain-within and of apply-within, whichever is shorter. A relay that no longer watches answers the calls that wait at it. Gauge contact-age; lines 'relying on relays' and 'watching the platform'.

--- a/fleet/confirm.go
+++ b/fleet/confirm.go
@@ -20,10 +20,13 @@
 
 // confirmations holds the confirmations that were received and not applied yet.
 type confirmations struct {
-	// readCount is the number of successful reads of the table of orders since the start.
+	// readCount is the number of successful reads of orders and servers since the start.
 	readCount   int
 	reads       []freshness.Read
 	peerReports []freshness.PeerReport
+	// contactReads and contactReports are the same for the contact with the platform.
+	contactReads   []freshness.Read
+	contactReports []freshness.PeerReport
 }
 
 // ConfirmationAge returns the time since the configuration in force was last confirmed to be the newest,
@@ -50,17 +53,20 @@
 // recordRead records a successful read whose rows have been applied; only reads of orders confirm the
 // configuration.
 func (c *Control) recordRead(m readResult) {
-	if m.table != lovageyard.TableOrders {
+	if m.table == lovageyard.TableInstances {
 		return
 	}
 	c.confirmations.readCount++
-	if c.isSettling() {
-		// The store may have lost a newer configuration.
+	if m.table != lovageyard.TableOrders || c.isSettling() {
+		// While the era settles, the store may have lost a newer configuration.
 		return
 	}
-	c.confirmations.reads = append(c.confirmations.reads, freshness.Read{
-		StartedAt: m.startedAt, FinishedAt: m.finishedAt, PlatformTime: m.changes.PlatformTime,
-	})
+	c.confirmations.reads = append(c.confirmations.reads, m.asRead())
+}
+
+// asRead returns the times of a successful read.
+func (m readResult) asRead() freshness.Read {
+	return freshness.Read{StartedAt: m.startedAt, FinishedAt: m.finishedAt, PlatformTime: m.changes.PlatformTime}
 }
 
 // recordConfirmation records a peer's confirmation, if all changes that the peer had have been applied here.
@@ -81,20 +87,25 @@
 	})
 }
 
-// applyConfirmations applies the recorded confirmations, and answers the peers that wait for a confirmation.
-// It is called once the view with their rows has been published.
-func (c *Control) applyConfirmations() {
+// applyConfirmations applies the recorded confirmations and contacts, and reports whether this instance has read the
+// platform. It is called once the view with their rows has been published.
+func (c *Control) applyConfirmations() bool {
 	pending := c.confirmations
-	c.confirmations.reads, c.confirmations.peerReports = nil, nil
+	c.confirmations = confirmations{readCount: pending.readCount}
 	for _, report := range pending.peerReports {
 		c.freshness.ObservePeer(report)
 	}
 	for _, r := range pending.reads {
 		c.freshness.ObserveRead(r)
 	}
-	if len(pending.reads) > 0 {
-		c.answerWaiters(c.settings.Timer.Now())
+	for _, report := range pending.contactReports {
+		c.contacts.newest.ObservePeer(report)
+		c.contacts.reported.ObservePeer(report)
+	}
+	for _, r := range pending.contactReads {
+		c.contacts.newest.ObserveRead(r)
 	}
+	return len(pending.reads)+len(pending.contactReads) > 0
 }
 
 // confirmation returns the confirmation to send in reply to a call that was received at receivedAt, or nil if
@@ -110,7 +121,7 @@
 		Era:           last.Era,
 		Version:       last.Version,
 		Configuration: c.state.ConfigurationVersion(),
-		AgeMs:         (age + time.Millisecond - 1).Milliseconds(),
+		AgeMs:         ceilMillis(age),
 		HeldMs:        (now - receivedAt).Milliseconds(),
 	}
 }
--- /dev/null
+++ b/fleet/contact_test.go
@@ -0,0 +1,219 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/fleet"
+	"lovageyard.example/lovageyard/instance"
+	"lovageyard.example/lovageyard/peer/wire"
+	"lovageyard.example/lovageyard/platform"
+	"lovageyard.example/lovageyard/timer"
+)
+
+// changeWithin is the time within which changes have to be in force in the tests.
+const changeWithin = 2 * time.Second
+
+// silencer makes calls of some instances, or to some, remain without an answer once it is closed.
+type silencer struct {
+	silent chan struct{}
+	once   sync.Once
+}
+
+func newSilencer() *silencer {
+	return &silencer{silent: make(chan struct{})}
+}
+
+func (s *silencer) close() {
+	s.once.Do(func() { close(s.silent) })
+}
+
+// call makes a call whose answer is lost if the silencer is closed first.
+func call[T any](s *silencer, ctx context.Context, f func(context.Context) (T, error)) (T, error) {
+	type result struct {
+		value T
+		err   error
+	}
+	answered := make(chan result, 1)
+	go func() {
+		value, err := f(ctx)
+		answered <- result{value, err}
+	}()
+	select {
+	case r := <-answered:
+		return r.value, r.err
+	case <-s.silent:
+		<-ctx.Done()
+		var none T
+		return none, ctx.Err()
+	case <-ctx.Done():
+		var none T
+		return none, ctx.Err()
+	}
+}
+
+// silencedPeers is a network in which calls to the named addresses remain without an answer.
+type silencedPeers struct {
+	fleet.Peers
+	addresses func() []string
+	silencer  *silencer
+}
+
+func (p silencedPeers) Share(ctx context.Context, address string, r *wire.ShareRequest) (*wire.ShareReply, error) {
+	if !slices.Contains(p.addresses(), address) {
+		return p.Peers.Share(ctx, address, r)
+	}
+	return call(p.silencer, ctx, func(ctx context.Context) (*wire.ShareReply, error) { return p.Peers.Share(ctx, address, r) })
+}
+
+// silencedFeed is a platform that no longer answers.
+type silencedFeed struct {
+	lovageyard.Feed
+	silencer *silencer
+}
+
+func (f silencedFeed) Rows(ctx context.Context, table string) (lovageyard.Changes, error) {
+	return call(f.silencer, ctx, func(ctx context.Context) (lovageyard.Changes, error) { return f.Feed.Rows(ctx, table) })
+}
+
+func (f silencedFeed) Watch(ctx context.Context, table string, after lovageyard.Position, wait time.Duration) (lovageyard.Changes, error) {
+	return call(f.silencer, ctx, func(ctx context.Context) (lovageyard.Changes, error) { return f.Feed.Watch(ctx, table, after, wait) })
+}
+
+// relayGroup is a failure domain of three instances on a manual clock, two of which are relays.
+type relayGroup struct {
+	*group
+	clock    *timer.Manual
+	relays   []string
+	follower *fleet.Control
+	// reads counts the follower's calls to the platform.
+	reads *countingFeed
+	// toRelays silences the calls to relays, and ofRelays the relays' calls to the platform.
+	toRelays, ofRelays *silencer
+}
+
+func newRelayGroup(t *testing.T) *relayGroup {
+	const count = 3
+	r := &relayGroup{group: newGroup(t), clock: timer.NewManual(time.Unix(1000, 0)), toRelays: newSilencer(), ofRelays: newSilencer()}
+	var all []lovageyard.EntryInstance
+	for n := range count {
+		all = append(all, lovageyard.EntryInstance{Name: fmt.Sprint("entry-", n), FailureDomain: "north-1"})
+	}
+	r.relays = instance.ChooseRelays(all, "north-1")
+	var controls []*fleet.Control
+	for _, i := range all {
+		client := platform.NewStore(r.address, discardLogger())
+		s := r.settings(i.Name, 1, client, client)
+		s.Timer, s.ChangeWithin = r.clock, changeWithin
+		isRelay := slices.Contains(r.relays, i.Name)
+		if isRelay {
+			s.Feed = silencedFeed{Feed: client, silencer: r.ofRelays}
+		} else {
+			r.reads = &countingFeed{Feed: client}
+			s.Feed = r.reads
+		}
+		s.Peers = silencedPeers{Peers: s.Peers, addresses: r.relayAddresses, silencer: r.toRelays}
+		control := r.startWith(s)
+		r.c.Cleanup(func() { r.stop(i.Name) })
+		controls = append(controls, control)
+		if !isRelay {
+			r.follower = control
+		}
+	}
+	r.untilAdvancing("all live", func() bool {
+		return !slices.ContainsFunc(controls, func(c *fleet.Control) bool { return len(c.View().Live) < count || !c.View().Ready })
+	})
+	return r
+}
+
+func (r *relayGroup) relayAddresses() []string {
+	var addresses []string
+	for _, name := range r.relays {
+		addresses = append(addresses, name+":2")
+	}
+	return addresses
+}
+
+// advance advances the clock by one step, and leaves the instances time to react.
+func (r *relayGroup) advance() {
+	r.clock.Advance(10 * time.Millisecond)
+	time.Sleep(10 * time.Millisecond)
+}
+
+func (r *relayGroup) untilAdvancing(what string, condition func() bool) {
+	r.c.Helper()
+	r.until(what, func() bool {
+		r.advance()
+		return condition()
+	})
+}
+
+// untilFollowing waits until the follower has not called the platform for longer than one of its watches lasts.
+func (r *relayGroup) untilFollowing() {
+	r.c.Helper()
+	const quietSteps = 400
+	r.untilAdvancing("the follower relies on its relays", func() bool {
+		before := r.reads.calls.Load()
+		for range quietSteps {
+			r.advance()
+		}
+		return r.reads.calls.Load() == before
+	})
+}
+
+// knowsWithin reports whether the follower learns within a time by the clock that a server has left.
+func (r *relayGroup) knowsWithin(server string, limit time.Duration) bool {
+	for end := r.clock.Now().Add(limit); r.clock.Now().Before(end); r.advance() {
+		if !r.isUsed(server) {
+			return true
+		}
+	}
+	return false
+}
+
+// isUsed reports whether the follower uses a server.
+func (r *relayGroup) isUsed(server string) bool {
+	for _, s := range r.follower.View().Servers {
+		if s.Name == server && s.State == lovageyard.StateLive {
+			return true
+		}
+	}
+	return false
+}
+
+// A relay that freezes, or that the platform no longer answers, sends no changes and reports no failure. Followers
+// must still learn in time that a server has left.
+func TestFollowerOfUnreachableRelaysLearnsOfADeparture(t *testing.T) {
+	for name, silence := range map[string]func(r *relayGroup){
+		"relays do not answer":                func(r *relayGroup) { r.toRelays.close() },
+		"the platform does not answer relays": func(r *relayGroup) { r.ofRelays.close() },
+		"both":                                func(r *relayGroup) { r.toRelays.close(); r.ofRelays.close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRelayGroup(t)
+			server := lovageyard.BackendServer{Name: "i-1", Service: "desk", Address: "127.0.0.1:9", Slots: 1, State: lovageyard.StateLive}
+			r.store.PutServer(server)
+			r.untilAdvancing("the server is known", func() bool { return r.isUsed("i-1") })
+			r.untilFollowing()
+			silence(r)
+			server.State = lovageyard.StateLeaving
+			r.store.PutServer(server)
+			r.c.Assert(r.knowsWithin("i-1", changeWithin), qt.IsTrue)
+		})
+	}
+}
+
+// Followers must not read the platform while their relays do.
+func TestFollowersOfHealthyRelaysDoNotReadThePlatform(t *testing.T) {
+	t.Parallel()
+	r := newRelayGroup(t)
+	r.untilFollowing()
+}
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -74,6 +74,9 @@
 	// MaxConfirmationAge is the limit that ConfirmationAge should stay well below while there are client
 	// accounts; 0 means no limit.
 	MaxConfirmationAge time.Duration
+	// ChangeWithin is the time within which changes of the platform's tables have to be in force, such as the
+	// departure of a server; 0 means 2 s.
+	ChangeWithin time.Duration
 }
 
 // Control runs the control loop of one entry instance.
@@ -91,6 +94,7 @@
 	startedAt time.Time
 	watches   pendingWatches
 	freshness freshness.Tracker
+	contacts  contacts
 
 	// The fields below belong to the loop's goroutine.
 	self    instance.Member
@@ -225,11 +229,18 @@
 		case <-c.inbox.Context().Done():
 			return
 		}
-		if c.dirty {
-			c.publish()
-			c.answerWaiters(c.settings.Timer.Now())
-		}
-		c.applyConfirmations()
+		c.applyUpdates()
+	}
+}
+
+// applyUpdates publishes a changed state, applies what confirms it, and answers the peers that wait for either.
+func (c *Control) applyUpdates() {
+	changed := c.dirty
+	if changed {
+		c.publish()
+	}
+	if confirmed := c.applyConfirmations(); changed || confirmed {
+		c.answerWaiters(c.settings.Timer.Now())
 	}
 }
 
@@ -250,6 +261,7 @@
 	c.forgetRemovedMembers()
 	c.gossip()
 	c.followRelays()
+	c.checkContact()
 	c.answerWaiters(now)
 	c.removeStaleRows(now)
 	c.register(now)
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -39,6 +39,8 @@
 	case lovageyard.TableOrders:
 		c.restoreNoticedAt = c.settings.Timer.Elapsed()
 		c.freshness.ObserveRestore(c.restoreNoticedAt)
+		c.contacts.newest.ObserveRestore(c.restoreNoticedAt)
+		c.contacts.reported.ObserveRestore(c.restoreNoticedAt)
 		c.markEra()
 		c.distrustRelays(at.Era)
 		c.rewriteQuarantineRows()
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -14,12 +14,8 @@
 
 // Intervals of the calls to the platform.
 const (
-	// watchWait is how long a watch waits for changes of orders or servers. After a short outage the
-	// platform may never answer the watches that were pending; they time out storeTimeout of package
-	// platform after the wait. Both together are within the time that operators allow after an outage.
-	watchWait = 2500 * time.Millisecond
-	// watchInstancesWait is the same for the table of instances, which is needed only to discover them.
-	// This watch is cancelled together with those of the other tables.
+	// watchInstancesWait is how long a watch of the table of instances waits for changes; the table is needed
+	// only to discover them. This watch is cancelled together with those of the other tables.
 	watchInstancesWait = 20 * time.Second
 	// coalesceInterval is the pause between two watches of a table, so that further changes are batched.
 	// It is well below the time limits for leaving servers and for configurations, of 2 s and more.
@@ -102,15 +98,16 @@
 	return maxBackoffNonRelay
 }
 
-// watchWaitOf returns how long a watch of a table waits for changes.
+// watchWaitOf returns how long a watch of a table waits for changes. After a short outage the platform may never
+// answer the watches that were pending; they time out storeTimeout of package platform after the wait.
 func (c *Control) watchWaitOf(table string) time.Duration {
 	switch {
 	case table == lovageyard.TableInstances:
 		return watchInstancesWait
 	case table == lovageyard.TableOrders && c.needsConfirmation():
-		return min(watchWait, confirmWaitPercent*c.settings.MaxConfirmationAge/100)
+		return min(c.untilContact(table), confirmWaitPercent*c.settings.MaxConfirmationAge/100)
 	}
-	return watchWait
+	return c.untilContact(table)
 }
 
 // errWatchCancelled reports a pending watch that was cancelled because a call for another table failed.
@@ -201,6 +198,7 @@
 	c.recordEra(m.table, cursor, now)
 	c.recordFeedSuccess(m.table, now)
 	c.recordRead(m)
+	c.recordContact(m)
 	if m.whole || len(m.changes.Rows) > 0 {
 		c.dirty = true
 	}
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -15,14 +15,11 @@
 // calls to the platform grow with the number of failure domains, not instances, and a relay that stops
 // answering delays no row. A domain that is alone in its region has two relays. Instances that disagree
 // on the relays make more calls but lose no rows: an instance that follows no healthy relay watches the
-// platform itself.
+// platform itself, and so does one whose relays have not reported contact with the platform recently.
 
 const (
-	// relayWait is how long a call to a relay waits for rows.
-	relayWait = 20 * time.Second
-	// relayConfirmWait is the same while the relay answers whenever it has confirmed its configuration
-	// with the platform, about once a second.
-	relayConfirmWait = 2 * time.Second
+	// relayWait is how long a call to a relay waits for rows, if another relay reports its contact with the platform.
+	relayWait = 5 * time.Second
 )
 
 // relayState is the state of the calls to one relay.
@@ -112,14 +109,15 @@
 }
 
 // callRelay starts a call to a relay. While the relay is not known to be healthy, the call does not wait, so
-// that it shows quickly whether the relay reads the platform.
+// that it shows quickly whether the relay reads the platform. One relay reports its contact with the platform
+// whenever it has read a table; all do if the configuration has to be confirmed.
 func (c *Control) callRelay(address string) {
 	request := c.newRequest()
 	request.Cursors = c.cursors()
 	if c.relays[address].healthy {
 		request.WaitMs = relayWait.Milliseconds()
-		if request.Confirm = c.needsConfirmation(); request.Confirm {
-			request.WaitMs = relayConfirmWait.Milliseconds()
+		if request.Confirm = c.needsConfirmation() || address == c.reportingRelay(); request.Confirm {
+			request.WaitMs = c.contactPeriod().Milliseconds()
 		}
 	}
 	c.inbox.Call("follow "+address, func(ctx context.Context) message {
@@ -129,6 +127,16 @@
 	})
 }
 
+// reportingRelay returns the address of the first healthy relay.
+func (c *Control) reportingRelay() string {
+	for _, address := range c.relayAddresses() {
+		if r := c.relays[address]; r != nil && r.healthy {
+			return address
+		}
+	}
+	return ""
+}
+
 // relayResult is the result of a call to a relay.
 type relayResult struct {
 	address     string
@@ -192,7 +200,7 @@
 
 // mayWait reports whether the answer to a request may wait, as there is nothing new for its sender.
 func (c *Control) mayWait(r *wire.ShareRequest, changes []*wire.TableChanges) bool {
-	return len(changes) == 0 && !c.isPlatformUnavailable() && !c.isInEarlierEra(r) && !c.lacksLostConfiguration(r)
+	return len(changes) == 0 && c.canRelay() && !c.isInEarlierEra(r) && !c.lacksLostConfiguration(r)
 }
 
 // isPlatformUnavailable reports whether this instance currently can't read a table of the platform, or has
@@ -214,6 +222,7 @@
 		Confirmation: c.confirmation(m.receivedAt),
 		Era:          c.state.Cursor(lovageyard.TableOrders).Era,
 		Settled:      c.hasSettledForPeers(),
+		Contact:      c.contact(m.receivedAt),
 	}
 	if c.lacksLostConfiguration(m.request) {
 		reply.Configuration = c.lostConfiguration()
@@ -229,7 +238,7 @@
 // loop has stopped.
 func (c *Control) awaitWatching() bool {
 	for c.inbox.Context().Err() == nil {
-		if c.watchesPlatform.Load() {
+		if c.watchesPlatform.Load() || c.lacksReports() {
 			return true
 		}
 		c.sleep(relayCheckInterval)
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -207,6 +207,7 @@
 	}
 	c.applySettled(reply)
 	c.recordConfirmation(reply.GetConfirmation(), requestedAt)
+	c.recordReport(reply.GetContact(), requestedAt)
 }
 
 // recordPeerFailure counts and logs a failed call to a peer.
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -181,6 +181,7 @@
 		Seed:       uint64(self.Incarnation),
 
 		MaxConfirmationAge: o.RevokeWithin,
+		ChangeWithin:       o.changeWithin(),
 	})
 	e.limiter = quota.NewLimiter(quota.Settings{
 		Self:    o.Instance,
@@ -310,6 +311,7 @@
 	e.meters.Update(meter.ConfigurationVersion, int64(view.Version()))
 	e.meters.Update(meter.ConfigurationAge, now.Sub(e.versionSince).Milliseconds())
 	e.meters.Update(meter.ConfirmationAge, ageMillis(e.control.ConfirmationAge()))
+	e.meters.Update(meter.ContactAge, ageMillis(e.control.ContactAge()))
 	e.meters.Update(meter.AccountsNearLimit, int64(e.limiter.MeteredCount()))
 	e.meters.Update(meter.InstancesLive, int64(len(view.Live)))
 	e.meters.Update(meter.LogDroppedRoutine, dropped.Routine)
--- a/lovageyardd/edge_options.go
+++ b/lovageyardd/edge_options.go
@@ -39,6 +39,7 @@
 	ShiftWindow     time.Duration     `default:"2s" help:"Window that shifts are counted in."`
 	RevokeWithin    time.Duration     `default:"0s" help:"Time after which a key that the operator took away must run nothing, whatever happens; 0s means that no instance has to stop for the age of what it knows."`
 	ApplyWithin     time.Duration     `default:"0s" help:"Time after which a configuration has to be in force; requests with unknown keys or routes are rejected only by knowledge that is younger. 0s means any age."`
+	DrainWithin     time.Duration     `default:"0s" help:"Time after which a server that leaves must get no requests. Together with apply-within it decides how often the platform is read; 0s means 2s."`
 	QuotaWindow     time.Duration     `default:"5s" help:"Window that the requests of a client account are counted in, over all instances."`
 	QuotaExcess     float64           `default:"0.1" help:"Part of an account's limit by which its requests in one window may exceed it."`
 	QuotaSlack      float64           `default:"20" help:"Requests in one window beyond that."`
@@ -96,8 +97,8 @@
 		return errors.New("--largest-shift: must be above 0 and at most 1")
 	case o.ShiftWindow < minShiftWindow:
 		return errors.Errorf("--shift-window: must be at least %s", minShiftWindow)
-	case o.RevokeWithin < 0 || o.ApplyWithin < 0:
-		return errors.New("--revoke-within and --apply-within: must not be negative")
+	case o.RevokeWithin < 0 || o.ApplyWithin < 0 || o.DrainWithin < 0:
+		return errors.New("--revoke-within, --apply-within and --drain-within: must not be negative")
 	case o.QuotaWindow < time.Second:
 		return errors.New("--quota-window: must be at least 1s")
 	case o.QuotaExcess < 0 || o.QuotaSlack < 0:
@@ -132,6 +133,15 @@
 	}
 }
 
+// changeWithin returns the shortest time within which changes on the platform have to be in force, or 0 if
+// none is set.
+func (o *edgeOptions) changeWithin() time.Duration {
+	if o.ApplyWithin == 0 || o.DrainWithin == 0 {
+		return max(o.ApplyWithin, o.DrainWithin)
+	}
+	return min(o.ApplyWithin, o.DrainWithin)
+}
+
 // localDemandShare estimates the share of requests that come from this instance's region as the share
 // of failure domains that are in it.
 func (o *edgeOptions) localDemandShare() float64 {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -55,6 +55,7 @@
 	ConfigurationVersion = Metric{"configuration-version", Gauge, nil, "version of the configuration in force"}
 	ConfigurationAge     = Metric{"configuration-age", Gauge, nil, "milliseconds since the configuration came into force"}
 	ConfirmationAge      = Metric{"knowledge-age", Gauge, nil, "milliseconds since the configuration in force was known to be the newest, -1 if it never was"}
+	ContactAge           = Metric{"contact-age", Gauge, nil, "milliseconds since all changes on the platform were known to have been read, by this instance or one that it follows, -1 if they never were"}
 	LimitReports         = Metric{"limit-reports", Counter, []string{"outcome"}, "reports on accounts' limits to the instances that own them, by outcome: ok or failed"}
 	AccountsNearLimit    = Metric{"limits-tight", Gauge, nil, "client accounts that are near their limits, by the word of the instances that own their limits"}
 	InstancesLive        = Metric{"instances-live", Gauge, nil, "entry instances that are believed to take work"}
@@ -79,7 +80,7 @@
 func All() []Metric {
 	return []Metric{
 		Answers, Refusals, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, InFlight,
-		ServersKnown, ServersSuspect, ServersLimited, ServersLeaving, ServersBackingOff, ServersCrashed, RequestsQuarantined, ConnectionsOpened, ConfigurationVersion, ConfigurationAge, ConfirmationAge,
+		ServersKnown, ServersSuspect, ServersLimited, ServersLeaving, ServersBackingOff, ServersCrashed, RequestsQuarantined, ConnectionsOpened, ConfigurationVersion, ConfigurationAge, ConfirmationAge, ContactAge,
 		LimitReports, AccountsNearLimit, InstancesLive,
 		ChangeAge, PlatformReads, PlatformFailures, HistoryLost, OutdatedReads, PlatformRestores, RowsSkipped, PlatformWrites, PeerExchanges, PeerFailures,
 		PeerRows, PeerRowsKnown, PeerBytes,
