fleet: a removed server is kept only if an outage of the platform may have removed its entry

What callers saw: requests reached servers up to 2,398 ms after their departure was acknowledged (2,000 allowed), at an instance that had read the removal 4 ms after it was made.

Cause: a server whose entry is removed while the table of servers counts as unreadable is kept for 1.5 s, as its entry may have expired in an outage of the platform, and was dropped at the next tick of 1 s.

Evidence: the line 'servers no longer used' of the instance that sent the late request: source expiry, 2,467 ms after all others (source platform or a peer) in the same millisecond.

Change: a removal that the platform has sent is in doubt only if nobody was in contact with the platform until just before, by the age of the contact. One that a peer has sent is in doubt for as long as the peer still uses the server (keep-ms of the row). The grace period ends on its own timer.

--- a/catalog/restore.go
+++ b/catalog/restore.go
@@ -140,7 +140,7 @@
 	case known.State != lovageyard.StateLive || known.invalid:
 		s.dropServer(known, now)
 	case known.expiresAt.IsZero():
-		known.expiresAt = now.Add(expiryGrace)
+		s.expireAt(known, now.Add(expiryGrace))
 	}
 }
 
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -10,13 +10,6 @@
 	"lovageyard.example/lovageyard/account"
 )
 
-const (
-	// expiryGrace is how long a server is still used after its removal is read, if its entry may
-	// have expired during an outage of the platform. Servers register again within about 2 s of
-	// the end of an outage, and detecting the end takes a part of these 2 s.
-	expiryGrace = 1500 * time.Millisecond
-)
-
 // State holds the current rows of the platform's tables. It is not safe for concurrent use: one
 // goroutine applies changes and takes snapshots.
 type State struct {
@@ -58,6 +51,8 @@
 	cached *Snapshot
 	// unreadable is set while the table of servers can't be read, until the missed changes are applied.
 	unreadable bool
+	// nextExpiry is when the first of the servers expires, or zero.
+	nextExpiry time.Time
 }
 
 type server struct {
@@ -178,22 +173,6 @@
 	return true, invalid
 }
 
-// MarkUnreadable records that a table can't be read: entries of servers that the next changes
-// remove may only have expired during the outage.
-func (s *State) MarkUnreadable(table string) {
-	if table == lovageyard.TableServers {
-		s.unreadable = true
-	}
-}
-
-// MarkReadable records that a table can be read again. It is called after the changes that were
-// missed during the outage have been applied.
-func (s *State) MarkReadable(table string) {
-	if table == lovageyard.TableServers {
-		s.unreadable = false
-	}
-}
-
 // HasRow reports whether a row of an era, or a newer version of it in the same era, has been applied.
 // Invalid entries of servers and instances count as applied.
 func (s *State) HasRow(era int64, r lovageyard.Row) bool {
@@ -214,6 +193,7 @@
 		}
 		s.lastChanges[r.Table] = max(s.lastChanges[r.Table], r.Version)
 		record, err := s.decode(r)
+		record.KeepFor = r.KeepFor
 		if err != nil {
 			if s.recordInvalidRow(r) {
 				invalid = append(invalid, InvalidRow{Row: r, Err: err})
@@ -271,7 +251,7 @@
 func (s *State) applyServer(r lovageyard.Record, now time.Time) {
 	known := s.servers[r.Key]
 	if r.Removed {
-		s.removeServer(known, now)
+		s.removeServer(known, r.KeepFor, now)
 		return
 	}
 	warmUp := r.Server.ColdFor.Std()
@@ -304,44 +284,6 @@
 	return s.config.Services[service].ColdFor
 }
 
-// removeServer drops a server, or sets it to expire if its entry may only have expired during an outage.
-func (s *State) removeServer(known *server, now time.Time) {
-	if known == nil {
-		return
-	}
-	if s.unreadable && known.State == lovageyard.StateLive && !known.invalid {
-		known.expiresAt = now.Add(expiryGrace)
-		return
-	}
-	s.dropServer(known, now)
-}
-
-// dropServer removes a server whose entry is gone.
-func (s *State) dropServer(known *server, now time.Time) {
-	s.recordEnded(known, now)
-	delete(s.servers, known.Name)
-}
-
-// Expire drops the servers and drains that the platform's store lost and that did not come back within
-// their grace periods. It reports whether it dropped any.
-func (s *State) Expire(now time.Time) bool {
-	changed := s.expireDrains(now)
-	for _, known := range s.servers {
-		if !known.expiresAt.IsZero() && !now.Before(known.expiresAt) {
-			s.dropServer(known, now)
-			changed = true
-		}
-	}
-	s.forgetEnded(now)
-	if s.adoptOutdated(now) {
-		changed = true
-	}
-	if changed {
-		s.cached = nil
-	}
-	return changed
-}
-
 // ChangesSince returns the changes of a table after a position, for a lagging peer. If the position is
 // from another era, or removals since then may be unknown, it returns the whole table, as changes
 // after version 0.
--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -298,3 +298,29 @@
 	}
 	c.Assert(view.Match("a.example", "/none/"), qt.IsNil)
 }
+
+// A removal that a peer has sent with the time for which it keeps the server takes effect after that time, and at
+// most after the grace period; one without takes effect immediately, also while the table can't be read here.
+func TestRemovedServerIsKeptAsLongAsThePeerKeepsIt(t *testing.T) {
+	for _, test := range []struct{ keepFor, kept time.Duration }{
+		{0, 0},
+		{400 * time.Millisecond, 400 * time.Millisecond},
+		{time.Hour, 1500 * time.Millisecond},
+	} {
+		c := qt.New(t)
+		s := populatedState(c, start)
+		removed := removedRow(lovageyard.TableServers, "a", 20)
+		removed.KeepFor = test.keepFor
+		s.ApplyChanges(lovageyard.TableServers, changes(10, 20, removed), start)
+		if test.kept > 0 {
+			c.Assert(serverNames(s), qt.DeepEquals, []string{"a", "b"})
+			c.Assert(s.NextExpiry(), qt.Equals, start.Add(test.kept))
+			c.Assert(s.KeptFor("a", start.Add(test.kept/2)), qt.Equals, test.kept-test.kept/2)
+			c.Assert(s.Expire(start.Add(test.kept-time.Millisecond)), qt.IsFalse)
+			c.Assert(s.Expire(start.Add(test.kept)), qt.IsTrue)
+		}
+		c.Assert(serverNames(s), qt.DeepEquals, []string{"b"})
+		c.Assert(s.NextExpiry().IsZero(), qt.IsTrue)
+		c.Assert(s.KeptFor("a", start), qt.Equals, time.Duration(0))
+	}
+}
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -238,6 +238,7 @@
 	changed := c.dirty
 	if changed {
 		c.publish()
+		c.scheduleExpiry()
 	}
 	if confirmed := c.applyConfirmations(); changed || confirmed {
 		c.answerWaiters(c.settings.Timer.Now())
@@ -249,10 +250,7 @@
 	if c.members.Tick(now) {
 		c.dirty = true
 	}
-	if c.state.Expire(now) {
-		c.rowSource = sourceExpiry
-		c.dirty = true
-	}
+	c.expire(now)
 	if c.expireLostInstances(now) {
 		c.dirty = true
 	}
@@ -267,6 +265,34 @@
 	c.register(now)
 }
 
+// expire drops what the platform's store has lost and whose grace period is over.
+func (c *Control) expire(now time.Time) {
+	if c.state.Expire(now) {
+		c.rowSource = sourceExpiry
+		c.dirty = true
+	}
+}
+
+// scheduleExpiry expires the next server as soon as its grace period ends: time limits leave no time to wait for a tick.
+func (c *Control) scheduleExpiry() {
+	at := c.state.NextExpiry()
+	if at.IsZero() {
+		return
+	}
+	c.inbox.Call("expire", func(context.Context) message {
+		c.sleep(at.Sub(c.settings.Timer.Now()))
+		return expiry{}
+	})
+}
+
+// expiry reports that the grace period of a server has ended.
+type expiry struct{}
+
+func (expiry) Apply(c *Control) {
+	c.expire(c.settings.Timer.Now())
+	c.scheduleExpiry()
+}
+
 // forgetRemovedMembers drops the state of instances that the table of members has removed.
 func (c *Control) forgetRemovedMembers() {
 	maps.DeleteFunc(c.directIncarnations, func(name string, _ int64) bool {
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -188,6 +188,10 @@
 	if !m.whole && c.hasNewRows(m.changes) {
 		c.recordChangeAge(m.table, 0, now)
 	}
+	if c.mayHaveExpired(m.table) {
+		c.state.MarkUnreadable(m.table)
+		defer c.state.MarkReadable(m.table)
+	}
 	var invalid []catalog.InvalidRow
 	if m.whole {
 		invalid = c.state.ApplyList(m.table, m.changes, now)
@@ -205,6 +209,12 @@
 	m.applied <- c.state.Cursor(m.table)
 }
 
+// mayHaveExpired reports whether entries that the next read of a table lacks may have expired in an outage of the
+// platform. An outage that only this instance has seen does not keep servers from renewing their entries.
+func (c *Control) mayHaveExpired(table string) bool {
+	return c.isUnreadable(table) && c.ContactAge() > c.maxContactAge()
+}
+
 // recordFeedSuccess records that a table can be read, and logs the end of an outage.
 func (c *Control) recordFeedSuccess(table string, now time.Time) {
 	since, found := c.failingSince[table]
@@ -213,7 +223,6 @@
 	}
 	delete(c.failingSince, table)
 	c.ordersUnreadable.Store(c.isUnreadable(lovageyard.TableOrders))
-	c.state.MarkReadable(table)
 	c.settings.Logger.WithFields(logrus.Fields{
 		"table":     table,
 		"outage-ms": now.Sub(since).Milliseconds(),
@@ -226,7 +235,6 @@
 		return
 	}
 	c.settings.Metrics.Count(meter.PlatformFailures, m.table, causeOf(m.err))
-	c.state.MarkUnreadable(m.table)
 	c.watches.cancelAll()
 	defer c.answerWaiters(now)
 	if _, found := c.failingSince[m.table]; found {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -258,6 +258,7 @@
 		if len(changes.Rows) == 0 && changes.After > 0 {
 			continue
 		}
+		c.markKept(changes.Rows)
 		encoded, err := c.encoder.EncodeTable(cursor.GetTable(), changes, c.baseLookup(cursor, have), r.GetReads())
 		if err != nil {
 			c.settings.Logger.WithError(err).Error("failed to encode rows for a peer")
@@ -269,6 +270,17 @@
 	return out
 }
 
+// markKept sets how long the servers of deleted entries are still used.
+func (c *Control) markKept(rows []lovageyard.Row) {
+	now := c.settings.Timer.Now()
+	for i := range rows {
+		rows[i].KeepFor = 0
+		if r := rows[i]; r.Deleted && r.Table == lovageyard.TableServers {
+			rows[i].KeepFor = c.state.KeptFor(r.Key, now)
+		}
+	}
+}
+
 // positionOf returns the position of a cursor in a request. A peer of an older version compares versions
 // without their eras.
 func (c *Control) positionOf(r *wire.ShareRequest, cursor *wire.Cursor) lovageyard.Position {
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -298,6 +298,11 @@
 		c.recordChangeAge(t.GetTable(), time.Duration(age)*time.Millisecond, now)
 	}
 	cursor := c.state.Cursor(t.GetTable())
+	if changes.After == 0 && c.mayHaveExpired(t.GetTable()) {
+		// A list does not say which entries the peer keeps.
+		c.state.MarkUnreadable(t.GetTable())
+		defer c.state.MarkReadable(t.GetTable())
+	}
 	applied, invalid := c.state.ApplyChanges(t.GetTable(), changes, now)
 	c.logInvalidRows(invalid)
 	c.recordEra(t.GetTable(), cursor, now)
--- a/peer/changes.go
+++ b/peer/changes.go
@@ -3,6 +3,7 @@
 import (
 	"math/bits"
 	"sync"
+	"time"
 
 	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
@@ -152,7 +153,7 @@
 }
 
 func encodePlainRow(r lovageyard.Row) *wire.Row {
-	return &wire.Row{Table: r.Table, Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted}
+	return &wire.Row{Table: r.Table, Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted, KeepMs: r.KeepFor.Milliseconds()}
 }
 
 // DecodeTable returns the changes that a peer has sent. It returns an error if their encoding is unknown or
@@ -226,7 +227,10 @@
 // ToRow returns the row of a wire message. If the message contains a delta, base must be the value that the
 // delta is based on. ToRow returns an error if the value can't be decompressed.
 func ToRow(table string, w *wire.Row, base []byte) (lovageyard.Row, error) {
-	r := lovageyard.Row{Table: table, Key: w.GetKey(), Version: w.GetVersion(), Value: w.GetValue(), Deleted: w.GetDeleted()}
+	r := lovageyard.Row{
+		Table: table, Key: w.GetKey(), Version: w.GetVersion(), Value: w.GetValue(), Deleted: w.GetDeleted(),
+		KeepFor: time.Duration(w.GetKeepMs()) * time.Millisecond,
+	}
 	if len(w.GetZipped()) == 0 {
 		return r, nil
 	}
--- a/ports.go
+++ b/ports.go
@@ -29,6 +29,9 @@
 	Version int64  `json:"version"`
 	Value   []byte `json:"value,omitempty"`
 	Deleted bool   `json:"deleted,omitempty"`
+	// KeepFor is set for the deleted entry of a server that a peer has sent: the server is still used for that
+	// time, as an outage of the platform may have removed the entry.
+	KeepFor time.Duration `json:"-"`
 }
 
 // Condition requires a row to have a given version; version 0 requires it to be absent.
--- a/steering.go
+++ b/steering.go
@@ -85,7 +85,9 @@
 	// Version increases with each change of the record.
 	Version int64
 	// Removed means that the record was deleted; the pointed-to value then holds only its name.
-	Removed       bool
+	Removed bool
+	// KeepFor is that of the row; see Row.
+	KeepFor       time.Duration
 	Configuration *Configuration
 	Drain         *DomainDrain
 	Server        *BackendServer
