fleet: an instance without sound relays notices the end of its outage within 3 s

Time limits apply 3 s after the end of an outage, so that a departure read then was late.

Change: the longest pause is 1.2 s.

Test: TestFollowerOfUnreachableRelaysNoticesTheEndOfItsOutage fails on the code before (a pause of 3.2 s).

--- a/fleet/contact_test.go
+++ b/fleet/contact_test.go
@@ -15,6 +15,7 @@
 	"lovageyard.example/lovageyard/instance"
 	"lovageyard.example/lovageyard/peer/wire"
 	"lovageyard.example/lovageyard/platform"
+	"lovageyard.example/lovageyard/platform/fake"
 	"lovageyard.example/lovageyard/timer"
 )
 
@@ -93,8 +94,11 @@
 	clock    *timer.Manual
 	relays   []string
 	follower *fleet.Control
-	// reads counts the follower's calls to the platform.
+	// reads counts the follower's calls to the platform, and waits receives the duration of each of its pauses.
 	reads *countingFeed
+	waits chan time.Duration
+	// longestWait is the longest of these pauses so far.
+	longestWait time.Duration
 	// toRelays silences the calls to relays, and ofRelays the relays' calls to the platform.
 	toRelays, ofRelays *silencer
 }
@@ -102,6 +106,7 @@
 func newRelayGroup(t *testing.T) *relayGroup {
 	const count = 3
 	r := &relayGroup{group: newGroup(t), clock: timer.NewManual(time.Unix(1000, 0)), toRelays: newSilencer(), ofRelays: newSilencer()}
+	r.waits = make(chan time.Duration, 1000)
 	var all []lovageyard.EntryInstance
 	for n := range count {
 		all = append(all, lovageyard.EntryInstance{Name: fmt.Sprint("entry-", n), FailureDomain: "north-1"})
@@ -118,6 +123,7 @@
 		} else {
 			r.reads = &countingFeed{Feed: client}
 			s.Feed = r.reads
+			s.Timer = recordingTimer{Manual: r.clock, started: r.waits}
 		}
 		s.Peers = silencedPeers{Peers: s.Peers, addresses: r.relayAddresses, silencer: r.toRelays}
 		control := r.startWith(s)
@@ -145,6 +151,9 @@
 func (r *relayGroup) advance() {
 	r.clock.Advance(10 * time.Millisecond)
 	time.Sleep(10 * time.Millisecond)
+	for len(r.waits) > 0 {
+		r.longestWait = max(r.longestWait, <-r.waits)
+	}
 }
 
 func (r *relayGroup) untilAdvancing(what string, condition func() bool) {
@@ -211,6 +220,24 @@
 	}
 }
 
+// An instance that could not reach the platform must notice soon that it can again, also if its relays still can't:
+// time limits apply to it again 3 s after the end of its outage.
+func TestFollowerOfUnreachableRelaysNoticesTheEndOfItsOutage(t *testing.T) {
+	t.Parallel()
+	const outage, maxPause = 10 * time.Second, 1500 * time.Millisecond
+	r := newRelayGroup(t)
+	r.untilFollowing()
+	r.ofRelays.close()
+	r.store.SetFaults(fake.StoreFaults{Status: 503})
+	calls := r.reads.calls.Load()
+	r.longestWait = 0
+	for end := r.clock.Now().Add(outage); r.clock.Now().Before(end); {
+		r.advance()
+	}
+	r.c.Assert(r.reads.calls.Load() > calls, qt.IsTrue)
+	r.c.Assert(r.longestWait <= maxPause, qt.IsTrue, qt.Commentf("a pause of %v", r.longestWait))
+}
+
 // Followers must not read the platform while their relays do.
 func TestFollowersOfHealthyRelaysDoNotReadThePlatform(t *testing.T) {
 	t.Parallel()
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -29,11 +29,12 @@
 	// relayCheckInterval is how often an instance that follows relays checks whether it has to watch the
 	// platform itself.
 	relayCheckInterval = 200 * time.Millisecond
-	// Exponential backoff after failed calls. Instances that are not relays back off longer, as they learn
-	// from their relays that the platform has recovered.
+	// Exponential backoff after failed calls. Instances that are not relays back off longer, as they usually learn
+	// from their relays that the platform has recovered. Operators allow 3 s after an outage, of which a call
+	// without an answer takes up to storeTimeout of package platform.
 	minBackoff         = 200 * time.Millisecond
 	maxBackoff         = 800 * time.Millisecond
-	maxBackoffNonRelay = 3200 * time.Millisecond
+	maxBackoffNonRelay = 1200 * time.Millisecond
 	// rowRemovalTimeout is how long the row of an instance that is not a member is kept.
 	rowRemovalTimeout = 20 * time.Second
 )
