--- a/fleet/contact_test.go
+++ b/fleet/contact_test.go
@@ -177,20 +177,10 @@
 	})
 }
 
-// knowsWithin reports whether the follower learns within a time by the clock that a server has left.
-func (r *relayGroup) knowsWithin(server string, limit time.Duration) bool {
+// within reports whether a condition holds within a time by the clock.
+func (r *relayGroup) within(limit time.Duration, condition func() bool) bool {
 	for end := r.clock.Now().Add(limit); r.clock.Now().Before(end); r.advance() {
-		if !r.isUsed(server) {
-			return true
-		}
-	}
-	return false
-}
-
-// isUsed reports whether the follower uses a server.
-func (r *relayGroup) isUsed(server string) bool {
-	for _, s := range r.follower.View().Servers {
-		if s.Name == server && s.State == lovageyard.StateLive {
+		if condition() {
 			return true
 		}
 	}
@@ -198,8 +188,8 @@
 }
 
 // A relay that freezes, or that the platform no longer answers, sends no changes and reports no failure. Followers
-// must still learn in time that a server has left.
-func TestFollowerOfUnreachableRelaysLearnsOfADeparture(t *testing.T) {
+// must still learn in time of a server that leaves, a drain and a configuration.
+func TestFollowerOfUnreachableRelaysLearnsOfChanges(t *testing.T) {
 	for name, silence := range map[string]func(r *relayGroup){
 		"relays do not answer":                func(r *relayGroup) { r.toRelays.close() },
 		"the platform does not answer relays": func(r *relayGroup) { r.ofRelays.close() },
@@ -208,14 +198,18 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := newRelayGroup(t)
-			server := lovageyard.BackendServer{Name: "i-1", Service: "desk", Address: "127.0.0.1:9", Slots: 1, State: lovageyard.StateLive}
+			server := deskServer("i-1")
 			r.store.PutServer(server)
-			r.untilAdvancing("the server is known", func() bool { return r.isUsed("i-1") })
+			r.untilAdvancing("the server is known", func() bool { return uses(r.follower, server.Name) })
 			r.untilFollowing()
 			silence(r)
 			server.State = lovageyard.StateLeaving
 			r.store.PutServer(server)
-			r.c.Assert(r.knowsWithin("i-1", changeWithin), qt.IsTrue)
+			r.store.Drain("north-9")
+			r.store.PutConfiguration(lovageyard.Configuration{Version: 2})
+			r.c.Assert(r.within(changeWithin, func() bool {
+				return !uses(r.follower, server.Name) && r.follower.View().Drained["north-9"] && version(r.follower) == 2
+			}), qt.IsTrue)
 		})
 	}
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -13,8 +13,9 @@
 	// quietPeriod is the time before an event in which no relevant fault may have been in effect for a
 	// time bound to be checked. A process that was just paused can't meet any bound.
 	quietPeriod = 5 * time.Second
-	// leaveBound is the time after which a leaving server or drained failure domain must get no requests.
-	leaveBound = 4 * time.Second
+	// leaveBound is the time after which a leaving server or drained failure domain must get no requests: the
+	// setting drainWithin and a margin.
+	leaveBound = drainWithin + 500*time.Millisecond
 	// applyBound is the time in which an instance must apply a configuration.
 	applyBound = 5 * time.Second
 	// coldWindow and retryWindow are the windows of the limits on cold servers and on retries.
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -25,6 +25,10 @@
 	serverLeaveTime = 6 * time.Second
 	restartDelay    = 200 * time.Millisecond
 	impactTail      = 2 * time.Second
+	// drainWithin is the instances' setting, and minDrainTime the shortest time for which a failure domain is drained
+	// or an entry overwritten.
+	drainWithin  = 2 * time.Second
+	minDrainTime = 4 * time.Second
 	// Warm-up of a cold server: its duration, and the rate in requests a second, a fraction of what callers
 	// would send.
 	coldFor  = time.Second
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -94,7 +94,7 @@
 		domain := domains[f.Target%len(domains)].name
 		d.store.Drain(domain)
 		d.check.SetDrained(domain, true)
-		time.Sleep(f.Duration + leaveBound)
+		time.Sleep(f.Duration + minDrainTime)
 		d.check.SetDrained(domain, false)
 		d.store.Undrain(domain)
 	case configure:
@@ -224,7 +224,7 @@
 	d.store.PutForeign("servers", b.Name, foreignEntries[len(b.Name+b.Address)%len(foreignEntries)])
 	d.check.RecordLeaving(b.Name)
 	d.setOverwritten(b.Name, true)
-	time.Sleep(duration + leaveBound)
+	time.Sleep(duration + minDrainTime)
 	d.setOverwritten(b.Name, false)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/soak/process.go
+++ b/soak/process.go
@@ -66,7 +66,7 @@
 		"--cold-excess", fmt.Sprint(coldExcess), "--cold-slack", fmt.Sprint(coldSlack),
 	}
 	if i.accounts {
-		arguments = append(arguments, "--revoke-within", revokeBound.String(), "--apply-within", applyBound.String())
+		arguments = append(arguments, "--revoke-within", revokeBound.String(), "--apply-within", applyBound.String(), "--drain-within", drainWithin.String())
 	}
 	if len(joinAddresses) > 0 {
 		arguments = append(arguments, "--peer-addresses", strings.Join(joinAddresses, ","))
