fleet: after the start all tables are read again at the same time

Servers that had joined meanwhile were known 0.5 s before all instances were, and each instance took too large a part of their limits: entry-4 sent two requests 18 ms apart.

Change: in the first 2.5 s the pause is the same for all tables, as before.

Test: TestAllTablesAreReadAgainAtTheSameTimeAfterTheStart fails on the code before (3 s and 2.5 s).

--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -116,11 +116,13 @@
 
 // coalesceIntervalOf returns the pause between two watches of a table.
 func (c *Control) coalesceIntervalOf(table string) time.Duration {
-	interval := coalesceInterval
+	if left := c.startPeriodLeft(); left > coalesceInterval {
+		return left
+	}
 	if table == lovageyard.TableInstances {
-		interval = coalesceIntervalInstances
+		return coalesceIntervalInstances
 	}
-	return max(interval, c.startPeriodLeft())
+	return coalesceInterval
 }
 
 // startPeriodLeft returns how long startPeriod still lasts; it is negative afterwards.
--- a/fleet/pause_test.go
+++ b/fleet/pause_test.go
@@ -143,6 +143,22 @@
 	}
 }
 
+// The limits of cold servers are divided among the instances that are known. So an instance that has just started must
+// read the table of instances again no later than that of servers, in which servers may have joined meanwhile.
+func TestAllTablesAreReadAgainAtTheSameTimeAfterTheStart(t *testing.T) {
+	g := newGroup(t)
+	clock := recordingTimer{Manual: timer.NewManual(time.Unix(1000, 0)), started: make(chan time.Duration, 100)}
+	feed := blockingFeed{watched: make(chan string, 100), release: make(chan lovageyard.Changes)}
+	s := g.settings("a", 1, feed, &recordingRegistrar{})
+	s.Timer = clock
+	g.startWith(s)
+	defer g.stop("a")
+	first := next(g.c, "a pause after the first list", clock.started)
+	for range len(lovageyard.FollowedTables()) - 1 {
+		g.c.Assert(next(g.c, "a pause after another list", clock.started), qt.Equals, first)
+	}
+}
+
 // An instance that has just started reads the platform rarely, so that others must not rely on it.
 func TestInstanceThatJustStartedIsNoRelay(t *testing.T) {
 	g := newGroup(t)
