--- a/fleet/contact_test.go
+++ b/fleet/contact_test.go
@@ -37,7 +37,7 @@
 }
 
 // call makes a call whose answer is lost if the silencer is closed first.
-func call[T any](s *silencer, ctx context.Context, f func(context.Context) (T, error)) (T, error) {
+func call[T any](ctx context.Context, s *silencer, f func(context.Context) (T, error)) (T, error) {
 	type result struct {
 		value T
 		err   error
@@ -71,7 +71,7 @@
 	if !slices.Contains(p.addresses(), address) {
 		return p.Peers.Share(ctx, address, r)
 	}
-	return call(p.silencer, ctx, func(ctx context.Context) (*wire.ShareReply, error) { return p.Peers.Share(ctx, address, r) })
+	return call(ctx, p.silencer, func(ctx context.Context) (*wire.ShareReply, error) { return p.Peers.Share(ctx, address, r) })
 }
 
 // silencedFeed is a platform that no longer answers.
@@ -81,11 +81,11 @@
 }
 
 func (f silencedFeed) Rows(ctx context.Context, table string) (lovageyard.Changes, error) {
-	return call(f.silencer, ctx, func(ctx context.Context) (lovageyard.Changes, error) { return f.Feed.Rows(ctx, table) })
+	return call(ctx, f.silencer, func(ctx context.Context) (lovageyard.Changes, error) { return f.Feed.Rows(ctx, table) })
 }
 
 func (f silencedFeed) Watch(ctx context.Context, table string, after lovageyard.Position, wait time.Duration) (lovageyard.Changes, error) {
-	return call(f.silencer, ctx, func(ctx context.Context) (lovageyard.Changes, error) { return f.Feed.Watch(ctx, table, after, wait) })
+	return call(ctx, f.silencer, func(ctx context.Context) (lovageyard.Changes, error) { return f.Feed.Watch(ctx, table, after, wait) })
 }
 
 // relayGroup is a failure domain of three instances on a manual clock, two of which are relays.
