deploy: drain-within has a default, and tests of the settings know it

The list has it now, a deployment without it gets the default, and TestShortestTimeLimitIsTheTimeForChanges checks which limit counts. A negative drain-within is refused by name, like the others.

--- a/lovageyardd/edge_test.go
+++ b/lovageyardd/edge_test.go
@@ -91,7 +91,7 @@
 	for name, value := range map[string]string{
 		"instance": "", "caller-address": "nowhere", "peer-addresses": "10.0.0.1", "keep-for-max": "0s",
 		"leave-within": "soon", "retry-ratio": "-1", "retry-window": "10ms", "cold-slack": "-1", "memory-mb": "-1", "largest-shift": "0",
-		"link-mbps": "-1", "revoke-within": "-1s", "apply-within": "soon", "quota-window": "10ms", "quota-excess": "-1", "quota-slack": "-1",
+		"link-mbps": "-1", "revoke-within": "-1s", "apply-within": "soon", "drain-within": "-1s", "quota-window": "10ms", "quota-excess": "-1", "quota-slack": "-1",
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -115,6 +115,20 @@
 	c.Assert(file.changed(), qt.IsFalse)
 }
 
+// The shortest of the deployment's time limits decides how often the platform is read; a limit that is not set
+// does not count.
+func TestShortestTimeLimitIsTheTimeForChanges(t *testing.T) {
+	c := qt.New(t)
+	for drain, want := range map[string]time.Duration{"2000": 2 * time.Second, "4000": 3 * time.Second, "0": 3 * time.Second} {
+		o, err := parseEdgeOptions(c, renderWith(c, map[string]string{"Bounds.DrainMs": drain}))
+		c.Assert(err, qt.IsNil)
+		c.Assert(o.changeWithin(), qt.Equals, want)
+	}
+	o, err := parseEdgeOptions(c, render(c))
+	c.Assert(err, qt.IsNil)
+	c.Assert(o.changeWithin(), qt.Equals, 3*time.Second)
+}
+
 // TestDeployedAccountSettings checks that the limits for client accounts are set if the
 // deployment has accounts, and that otherwise no instance stops because its configuration is old.
 func TestDeployedAccountSettings(t *testing.T) {
