fleet: a test of expired entries waits for contact before its outage

TestServersWhoseEntriesExpiredInAnOutageAreKeptForTheGracePeriod failed in 2 of 8 runs, after 3 s. Trace: the age of a contact that never was counted as a long outage, so that the test ended its outage before any call had failed, and the removal was rightly applied at once.

--- a/fleet/expiry_test.go
+++ b/fleet/expiry_test.go
@@ -38,6 +38,15 @@
 	return g.startWith(s)
 }
 
+// untilAdvancing waits for a condition while it advances a clock.
+func (g *group) untilAdvancing(clock *timer.Manual, what string, condition func() bool) {
+	g.c.Helper()
+	g.until(what, func() bool {
+		clock.Advance(10 * time.Millisecond)
+		return condition()
+	})
+}
+
 // An instance that can't reach the platform itself, while its peers can, must stop using a removed server as soon as
 // it learns of the removal: the entry can't have expired because of an outage.
 func TestRemovalThatAPeerHasReadIsAppliedAtOnce(t *testing.T) {
@@ -48,10 +57,7 @@
 	defer g.stop("entry-0")
 	isolated := g.startOnClock("entry-1", clock, "127.0.0.1:1", "entry-0:2")
 	defer g.stop("entry-1")
-	g.until("the server is known", func() bool {
-		clock.Advance(50 * time.Millisecond)
-		return uses(connected, "i-1") && uses(isolated, "i-1")
-	})
+	g.untilAdvancing(clock, "the server is known", func() bool { return uses(connected, "i-1") && uses(isolated, "i-1") })
 	g.store.RemoveServer("i-1")
 	g.until("the removal at the connected instance", func() bool { return !uses(connected, "i-1") })
 	// The next exchange; the clock then stops, so that no grace period ends.
@@ -84,22 +90,15 @@
 	s.Timer, s.ChangeWithin = clock, changeWithin
 	control := g.startWith(s)
 	defer g.stop("entry-0")
-	advanceUntil := func(what string, condition func() bool) {
-		g.c.Helper()
-		g.until(what, func() bool {
-			clock.Advance(10 * time.Millisecond)
-			return condition()
-		})
-	}
 	// The start is over, and both tables are read regularly.
-	advanceUntil("recent contact", func() bool {
+	g.untilAdvancing(clock, "recent contact", func() bool {
 		return uses(control, "i-1") && clock.Now().Sub(time.Unix(1000, 0)) > 5*time.Second && control.ContactAge() < changeWithin/4
 	})
 	feed.fail.Store(true)
-	advanceUntil("a failed call", func() bool { return !feed.fail.Load() })
+	g.untilAdvancing(clock, "a failed call", func() bool { return !feed.fail.Load() })
 	removedAt := g.store.RemoveServer("i-1")
 	var view *catalog.View
-	advanceUntil("the removal is read", func() bool {
+	g.untilAdvancing(clock, "the removal is read", func() bool {
 		view = control.View()
 		return view.Cursors[lovageyard.TableServers].Version >= removedAt
 	})
@@ -118,25 +117,20 @@
 	}
 	defer g.stop("entry-0")
 	defer g.stop("entry-1")
-	advanceUntil := func(what string, condition func() bool) {
-		g.c.Helper()
-		g.until(what, func() bool {
-			clock.Advance(10 * time.Millisecond)
-			return condition()
-		})
-	}
 	all := func(condition func(control *fleet.Control) bool) func() bool {
 		return func() bool { return condition(controls[0]) && condition(controls[1]) }
 	}
-	advanceUntil("the server is known", all(func(control *fleet.Control) bool { return uses(control, "i-1") }))
+	g.untilAdvancing(clock, "the server is known and there is contact", all(func(control *fleet.Control) bool {
+		return uses(control, "i-1") && control.ContactAge() < changeWithin
+	}))
 	g.store.SetFaults(fake.StoreFaults{Status: 503})
 	// Longer than a pending watch waits.
-	advanceUntil("the outage is noticed", all(func(control *fleet.Control) bool { return control.ContactAge() > 3*changeWithin }))
+	g.untilAdvancing(clock, "the outage is noticed", all(func(control *fleet.Control) bool { return control.ContactAge() > 3*changeWithin }))
 	removedAt := g.store.RemoveServer("i-1")
 	g.store.SetFaults(fake.StoreFaults{})
 	// keptAtRead holds whether each instance still used the server when it had read the removal.
 	keptAtRead := make(map[int]bool)
-	advanceUntil("the removal is read", func() bool {
+	g.untilAdvancing(clock, "the removal is read", func() bool {
 		for n, control := range controls {
 			view := control.View()
 			if _, seen := keptAtRead[n]; !seen && view.Cursors[lovageyard.TableServers].Version >= removedAt {
@@ -146,5 +140,5 @@
 		return len(keptAtRead) == len(controls)
 	})
 	g.c.Assert(keptAtRead, qt.DeepEquals, map[int]bool{0: true, 1: true})
-	advanceUntil("the server is dropped", all(func(control *fleet.Control) bool { return !uses(control, "i-1") }))
+	g.untilAdvancing(clock, "the server is dropped", all(func(control *fleet.Control) bool { return !uses(control, "i-1") }))
 }
