link: a streamed request is sent again only with the caller's permission

What callers saw: nothing that was reported. A look-up that a server lost together with a reused connection was sent a second time although the retry budget of its class was used up. Found by reading, in lovageyardd serve; edge uses Send, which asks.

Cause: Stream decided by the request's body: without one it was sent again, whatever its method, and nobody was asked. Charges were safe only because caller hid their empty bodies from it.

Evidence: TestLostRequestIsSentAgainOnlyWithinTheRetryBudget, on the code before: a look-up without budget runs twice. A POST without a body runs once there, by the hidden body, so that no charge ran twice.

Change: Stream takes the permission that Send has. caller gives it to idempotent classes, from their retry budget, and none to others; probes are always sent again. A request with a body is not, as before, since its body may have been read. The empty body needs no disguise any more.

Nothing on edge's way calls Stream.

--- a/caller/body.go
+++ b/caller/body.go
@@ -39,11 +39,10 @@
 	return b.rest == nil
 }
 
-// attach sets the body of one attempt. GetBody is never set, and the empty body of a request that must not run
-// twice is not http.NoBody, as either would let the transport retry the request on its own.
-func (b *requestBody) attach(out *http.Request, length int64, replayable bool) {
+// attach sets the body of one attempt.
+func (b *requestBody) attach(out *http.Request, length int64) {
 	out.GetBody = nil
-	if b.empty && replayable && len(out.Trailer) == 0 {
+	if b.empty && len(out.Trailer) == 0 {
 		out.Body = http.NoBody
 		out.ContentLength = 0
 		return
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -522,6 +522,57 @@
 	}
 }
 
+// A request without a body that a server loses with a reused connection is sent again only within the retry budget,
+// and a charge never is.
+func TestLostRequestIsSentAgainOnlyWithinTheRetryBudget(t *testing.T) {
+	for _, test := range []struct {
+		name, method, path string
+		drained            bool
+		runs               int64
+	}{
+		{"look-up", http.MethodGet, "/lookups/1", false, 2},
+		{"look-up without budget", http.MethodGet, "/lookups/1", true, 1},
+		{"charge", http.MethodPost, "/charges/1", false, 1},
+		{"charge without budget", http.MethodPost, "/charges/1", true, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var runs atomic.Int64
+			h := newHarness(t, newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/lookups/first" {
+					answerOK(w, r)
+					return
+				}
+				if runs.Add(1) == 1 {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					c.Check(err, qt.IsNil)
+					conn.Close()
+				}
+			}))
+			first, err := h.client.Get(h.front.URL + "/lookups/first")
+			c.Assert(err, qt.IsNil)
+			_, err = io.Copy(io.Discard, first.Body)
+			c.Assert(err, qt.IsNil)
+			first.Body.Close()
+			for i := range h.snapshot.ClassRoutes {
+				for test.drained && h.snapshot.ClassRoutes[i].RetryBudget.Withdraw() {
+				}
+			}
+			request, err := http.NewRequest(test.method, h.front.URL+test.path, nil)
+			c.Assert(err, qt.IsNil)
+			request.Header.Set("Idempotency-Key", "key-1")
+			response, err := h.client.Do(request)
+			c.Assert(err, qt.IsNil)
+			response.Body.Close()
+			c.Assert(runs.Load(), qt.Equals, test.runs)
+			if test.runs == 1 {
+				c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+				c.Assert(response.Header.Get(lovageyard.VerdictHeader), qt.Equals, string(lovageyard.VerdictMayHaveRun))
+			}
+		})
+	}
+}
+
 // TestLongBodiesAreNotBuffered forwards 100 MB in each direction. The heap has to stay below half of that.
 func TestLongBodiesAreNotBuffered(t *testing.T) {
 	c := qt.New(t)
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -155,6 +155,15 @@
 	return x.classRoute.RetryBudget.Withdraw()
 }
 
+// resendPermission returns the function that decides whether an attempt is sent again after the server has closed
+// a reused connection, or nil if the request must not run twice.
+func (x *exchange) resendPermission() func() bool {
+	if !x.classRoute.Class.Idempotent {
+		return nil
+	}
+	return x.classRoute.RetryBudget.Withdraw
+}
+
 // try makes one attempt. It returns nil once the response has been sent.
 func (x *exchange) try() *attemptError {
 	now := x.handler.timer.Now()
@@ -211,7 +220,7 @@
 	defer cancel()
 	started := x.handler.timer.Now()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: x.forwardEarlyHint})
-	response, err := x.handler.backend.Stream(x.outgoing(ctx), x.slot.Server)
+	response, err := x.handler.backend.Stream(x.outgoing(ctx), x.slot.Server, x.resendPermission())
 	if err != nil {
 		x.release(started, lovageyard.Outcome{Failed: true})
 		if x.isServerFault(ctx, started) {
@@ -306,7 +315,7 @@
 	out.Close = false
 	out.TransferEncoding = nil
 	out.Trailer = x.request.Trailer
-	x.body.attach(out, x.request.ContentLength, x.classRoute.Class.Idempotent)
+	x.body.attach(out, x.request.ContentLength)
 	return out
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -145,7 +145,7 @@
 	return err
 }
 
-func (p instancePorts) Stream(*http.Request, lovageyard.BackendServer) (*http.Response, error) {
+func (p instancePorts) Stream(*http.Request, lovageyard.BackendServer, func() bool) (*http.Response, error) {
 	return nil, errors.New("no traffic in these tests")
 }
 
--- a/link/backpressure_test.go
+++ b/link/backpressure_test.go
@@ -100,7 +100,7 @@
 	b := newScriptedServer(c, answer("", "streamed"))
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, fmt.Sprint("http://", b.listener.Addr()), nil)
 	c.Assert(err, qt.IsNil)
-	response, err := newObservedTransport(c, o).Stream(r, lovageyard.BackendServer{Name: "s", Address: b.listener.Addr().String()})
+	response, err := newObservedTransport(c, o).Stream(r, lovageyard.BackendServer{Name: "s", Address: b.listener.Addr().String()}, nil)
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.Body.Close(), qt.IsNil)
 	c.Assert(o.observations(), qt.HasLen, 1)
--- a/link/report.go
+++ b/link/report.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return report, errors.Wrap(err, "probe")
 	}
-	response, err := t.Stream(request, s)
+	response, err := t.Stream(request, s, func() bool { return true })
 	if err != nil {
 		return report, errors.Wrap(err, "probe")
 	}
--- a/link/stream.go
+++ b/link/stream.go
@@ -13,14 +13,15 @@
 )
 
 // Stream makes one attempt at a server and returns the response before its body is read, for bodies
-// that are too long to be kept in memory. The error is a *lovageyard.RequestError. A request
-// without a body is sent once more if the server closes a reused connection. The caller must close
-// the response body.
-func (t *Transport) Stream(r *http.Request, s lovageyard.BackendServer) (*http.Response, error) {
+// that are too long to be kept in memory. The error is a *lovageyard.RequestError. If the server closes
+// a reused connection, mayResend decides whether the request is sent once more; nil means that it must
+// not run twice. A request with a body is never sent again, as the body may have been read. The caller
+// must close the response body.
+func (t *Transport) Stream(r *http.Request, s lovageyard.BackendServer, mayResend func() bool) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.URL.Scheme = "http"
 	r.URL.Host = s.Address
-	replayable := r.Body == nil || r.Body == http.NoBody
+	replayable := mayResend != nil && hasNoBody(r)
 	idle := t.takeIdle(endpointOf(s), replayable)
 	if idle == nil {
 		return t.streamOnNewConn(r, s)
@@ -29,7 +30,7 @@
 	if failure == nil {
 		return response, nil
 	}
-	if !failure.ConnectionLost || !replayable || r.Context().Err() != nil {
+	if !failure.ConnectionLost || !replayable || r.Context().Err() != nil || !mayResend() {
 		return nil, failure
 	}
 	response, err := t.streamOnNewConn(r, s)
@@ -40,6 +41,10 @@
 	return response, nil
 }
 
+func hasNoBody(r *http.Request) bool {
+	return r.Body == nil || r.Body == http.NoBody
+}
+
 func (t *Transport) streamOnNewConn(r *http.Request, s lovageyard.BackendServer) (*http.Response, error) {
 	c, err := t.open(r.Context(), s.Address)
 	if err != nil {
@@ -80,7 +85,7 @@
 // body is written while the response is read.
 func startStreamWrite(c *conn, r *http.Request) <-chan error {
 	writeResult := make(chan error, 1)
-	if r.Body == nil || r.Body == http.NoBody {
+	if hasNoBody(r) {
 		writeResult <- c.send(r)
 		return writeResult
 	}
--- a/link/stream_test.go
+++ b/link/stream_test.go
@@ -112,7 +112,7 @@
 				defer client.Close()
 				ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 				defer cancel()
-				_, err := client.Stream(chargeRequest(ctx, method), server)
+				_, err := client.Stream(chargeRequest(ctx, method), server, nil)
 				c.Assert(lovageyard.VerdictOf(err), qt.Equals, test.verdict, qt.Commentf("%v", err))
 				c.Assert(connections.Load(), qt.Equals, int64(1))
 			})
@@ -142,7 +142,7 @@
 	listener.Close()
 	client := newStreamTransport()
 	defer client.Close()
-	_, err = client.Stream(chargeRequest(context.Background(), http.MethodPost), lovageyard.BackendServer{Address: address})
+	_, err = client.Stream(chargeRequest(context.Background(), http.MethodPost), lovageyard.BackendServer{Address: address}, nil)
 	c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictNotRun)
 }
 
@@ -153,7 +153,7 @@
 	defer client.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, err := client.Stream(chargeRequest(ctx, http.MethodPost), server)
+	_, err := client.Stream(chargeRequest(ctx, http.MethodPost), server, nil)
 	c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictNotRun)
 }
 
@@ -172,17 +172,20 @@
 	})
 	client := newStreamTransport()
 	defer client.Close()
-	first, err := client.Stream(mustRequest(http.MethodGet), server)
+	first, err := client.Stream(mustRequest(http.MethodGet), server, allow)
 	c.Assert(err, qt.IsNil)
 	// The connection is kept as soon as the response has ended.
 	_, err = io.ReadAll(first.Body)
 	c.Assert(err, qt.IsNil)
 	first.Body.Close()
-	_, err = client.Stream(chargeRequest(context.Background(), http.MethodPost), server)
+	_, err = client.Stream(chargeRequest(context.Background(), http.MethodPost), server, nil)
 	c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictMayHaveRun)
 	c.Assert(connections.Load(), qt.Equals, int64(1))
 }
 
+// allow permits every resend.
+func allow() bool { return true }
+
 func mustRequest(method string) *http.Request {
 	request, err := http.NewRequest(method, "http://unused/", nil)
 	if err != nil {
@@ -217,7 +220,7 @@
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://unused/", body)
 	c.Assert(err, qt.IsNil)
 	request.ContentLength = 4
-	_, err = client.Stream(request, server)
+	_, err = client.Stream(request, server, nil)
 	c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictMayHaveRun)
 	close(body.release)
 	text := <-got
@@ -245,7 +248,7 @@
 	client := newStreamTransport()
 	defer client.Close()
 	for range 2 {
-		response, err := client.Stream(mustRequest(http.MethodGet), server)
+		response, err := client.Stream(mustRequest(http.MethodGet), server, allow)
 		c.Assert(err, qt.IsNil)
 		n, err := io.Copy(io.Discard, response.Body)
 		c.Assert(err, qt.IsNil)
@@ -265,12 +268,12 @@
 	})
 	client := newStreamTransport()
 	defer client.Close()
-	response, err := client.Stream(mustRequest(http.MethodGet), server)
+	response, err := client.Stream(mustRequest(http.MethodGet), server, allow)
 	c.Assert(err, qt.IsNil)
 	_, err = io.ReadAll(response.Body)
 	c.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
 	response.Body.Close()
-	response, err = client.Stream(mustRequest(http.MethodGet), server)
+	response, err = client.Stream(mustRequest(http.MethodGet), server, allow)
 	c.Assert(err, qt.IsNil)
 	response.Body.Close()
 	_, err = response.Body.Read(make([]byte, 1))
@@ -292,7 +295,7 @@
 	for range 2 {
 		request := mustRequest(http.MethodGet)
 		request.Body = http.NoBody
-		response, err := client.Stream(request, server)
+		response, err := client.Stream(request, server, allow)
 		c.Assert(err, qt.IsNil)
 		_, err = io.ReadAll(response.Body)
 		c.Assert(err, qt.IsNil)
@@ -315,7 +318,7 @@
 		return nil
 	}}
 	request := mustRequest(http.MethodGet)
-	response, err := client.Stream(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)), server)
+	response, err := client.Stream(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)), server, allow)
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
 	c.Assert(response.Body.Close(), qt.IsNil)
--- a/ports.go
+++ b/ports.go
@@ -177,8 +177,9 @@
 // Backend sends requests to backend servers. It is safe for concurrent use.
 type Backend interface {
 	// Stream makes one attempt and returns the response before its body has been read. The error
-	// is a *RequestError.
-	Stream(r *http.Request, server BackendServer) (*http.Response, error)
+	// is a *RequestError. mayResend is called if the server has closed a reused connection, and reports
+	// whether the request may be sent once more; it must be nil for a request that must not run twice.
+	Stream(r *http.Request, server BackendServer, mayResend func() bool) (*http.Response, error)
 	// Probe requests the load and health of a backend server.
 	Probe(ctx context.Context, server BackendServer) (LoadReport, error)
 }
