caller: an answer that the backend server breaks off is not logged as a disconnected caller

What operators saw: a long answer that a server broke off had status 499 in the log and counted as class.C.cut, as if the caller had left. Found by reading.

Cause: any failure after the header of an answer was taken for the caller's. The reverse held for the server: a caller who disconnected while the answer was read counted as a failed run of the server.

Evidence: TestBrokenAnswerIsToldFromDisconnectedCaller, on the code before: 499 for a broken answer, 502 expected.

Change: an error of reading the answer is the server's unless the caller has disconnected.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"io"
 	"mime"
 	"net/http"
@@ -90,6 +91,9 @@
 		if readErr == io.EOF {
 			return nil
 		}
+		if readErr != nil && x.callerLeft() {
+			return readErr
+		}
 		if readErr != nil {
 			return &brokenAnswer{readErr}
 		}
@@ -148,12 +152,22 @@
 	x.count("answered")
 	took := x.handler.timer.Now().Sub(x.began)
 	x.observeDuration(took)
-	if err != nil {
+	var broken *brokenAnswer
+	switch {
+	case errors.As(err, &broken):
+		x.count("broken-off")
+		x.record(x.newAttemptError(lovageyard.MayHaveRun("the backend server's answer broke off", broken.error)), 0)
+	case err != nil:
 		x.count("cut")
 		x.record(nil, statusClientGone)
-		return
+	default:
+		x.record(nil, response.StatusCode)
 	}
-	x.record(nil, response.StatusCode)
+}
+
+// callerLeft reports whether the caller has disconnected.
+func (x *exchange) callerLeft() bool {
+	return errors.Is(x.request.Context().Err(), context.Canceled)
 }
 
 func (x *exchange) observeDuration(took time.Duration) {
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"net/textproto"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,7 @@
 	front    *httptest.Server
 	client   *http.Client
 	platform *memory.Store
+	metrics  metrics.Registry
 
 	mu        sync.Mutex
 	decisions []lovageyard.Decision
@@ -118,6 +120,7 @@
 	}
 	client := link.New(link.LoadHeaderCodec{}, timer.Clock{}, nil)
 	h.platform = memory.NewStore()
+	h.metrics = metrics.NewRegistry()
 	charges := charge.NewStore(h.platform, timer.Clock{}, "near-1/1")
 	handler := NewHandler(Settings{
 		Source:   h,
@@ -126,7 +129,7 @@
 		Backend:  client,
 		Timer:    timer.Clock{},
 		Recorder: h,
-		Metrics:  metrics.NewRegistry(),
+		Metrics:  h.metrics,
 		Self:     lovageyard.EntryInstance{Name: "near-1", FailureDomain: "near"},
 	})
 	h.front = httptest.NewServer(handler)
@@ -377,6 +380,51 @@
 	}
 }
 
+// A long answer that the backend server breaks off must not read in the log and the metrics as if the caller had
+// disconnected, or the reverse.
+func TestBrokenAnswerIsToldFromDisconnectedCaller(t *testing.T) {
+	const size = 4 << 20
+	for _, test := range []struct {
+		name         string
+		callerLeaves bool
+		status       int
+		counter      string
+	}{
+		{"broken answer", false, http.StatusBadGateway, "class.lookups.broken-off"},
+		{"disconnected caller", true, statusClientGone, "class.lookups.cut"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(t, newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = w.Write(make([]byte, size))
+				if test.callerLeaves {
+					<-r.Context().Done()
+				}
+				panic(http.ErrAbortHandler)
+			}))
+			response, err := h.client.Get(h.front.URL + "/lookups/long")
+			c.Assert(err, qt.IsNil)
+			_, err = io.ReadFull(response.Body, make([]byte, size/2))
+			c.Assert(err, qt.IsNil)
+			if !test.callerLeaves {
+				_, err = io.Copy(io.Discard, response.Body)
+				c.Assert(err, qt.IsNotNil)
+			}
+			response.Body.Close()
+			var decisions []lovageyard.Decision
+			for len(decisions) == 0 {
+				time.Sleep(time.Millisecond)
+				h.mu.Lock()
+				decisions = slices.Clone(h.decisions)
+				h.mu.Unlock()
+			}
+			c.Assert(decisions, qt.HasLen, 1)
+			c.Assert(decisions[0].Status, qt.Equals, test.status)
+			c.Assert(metrics.GetOrRegisterCounter(test.counter, h.metrics).Count(), qt.Equals, int64(1))
+		})
+	}
+}
+
 func TestForwardPropagatesCancellation(t *testing.T) {
 	c := qt.New(t)
 	began := make(chan struct{})
