control: an empty list of servers does not refresh the age of the list in use

What operators saw: the status page of serve gave a fresh age while the platform listed no servers and an older list stayed in use. Instances did not ask their peers for a better list either, as they do once theirs is older than 2 s. Found by reading.

Cause: the time of the read was stored before an empty list was set aside.

Evidence: TestEmptyListDoesNotRefreshTheAgeOfTheListInUse, on the code before: the age never reaches 3 s within a minute.

Change: the time is stored together with the list.

After: the test passes, twice with the race detector, with those of leaving servers and of the platform's outage.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -43,10 +43,11 @@
 	clock *timer.Manual
 	store *memory.Store
 
-	mu           sync.Mutex
-	controls     map[string]*Control
-	partitioned  map[string]bool
-	platformDown bool
+	mu             sync.Mutex
+	controls       map[string]*Control
+	partitioned    map[string]bool
+	platformDown   bool
+	listsNoServers bool
 }
 
 func newTestCluster(t *testing.T) *testCluster {
@@ -115,7 +116,13 @@
 	if err := p.unreachable(); err != nil {
 		return lovageyard.Listing{}, err
 	}
-	return p.Store.Listing(ctx)
+	listing, err := p.Store.Listing(ctx)
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	if p.cluster.listsNoServers {
+		listing.BackendServers = nil
+	}
+	return listing, err
 }
 
 func (p instancePorts) findPeer(address string) (*Control, error) {
@@ -425,6 +432,18 @@
 	cl.c.Assert(cl.controls["a1-2"].Snapshot().Leaving, qt.IsTrue)
 }
 
+// An empty list of servers is not used, so that it must not make the list in use look fresh.
+func TestEmptyListDoesNotRefreshTheAgeOfTheListInUse(t *testing.T) {
+	cl := newTestCluster(t)
+	cl.startAll()
+	cl.waitFor("listing", func() bool { return len(cl.status("a1-1").Pools) == 3 })
+	cl.withLock(func() { cl.listsNoServers = true })
+	cl.waitFor("an old list", func() bool { return cl.status("a1-1").ListAgeMs >= 3*listPeriod.Milliseconds() })
+	cl.c.Assert(cl.status("a1-1").Pools[0].Available, qt.Equals, 1)
+	cl.withLock(func() { cl.listsNoServers = false })
+	cl.waitFor("a new list", func() bool { return cl.status("a1-1").ListAgeMs < listPeriod.Milliseconds() })
+}
+
 func TestServerLeavingIsKnownInTheDomain(t *testing.T) {
 	cl := newTestCluster(t)
 	cl.startAll()
--- a/control/pools.go
+++ b/control/pools.go
@@ -35,16 +35,16 @@
 }
 
 // setListing applies the platform's list. A server that is no longer listed gets no new
-// requests. An empty list of servers is assumed to be a fault and leaves the pools unchanged.
+// requests. An empty list of servers is assumed to be a fault and leaves the pools and the age of the list
+// unchanged.
 func (c *Control) setListing(l lovageyard.Listing, readAt time.Time) {
 	now := c.settings.Timer.Now()
 	c.members.ApplyList(l.EntryInstances, now)
-	c.listedAt = readAt
 	c.dirty = true
 	if len(l.BackendServers) == 0 {
 		return
 	}
-	c.listing = l
+	c.listing, c.listedAt = l, readAt
 	byPool := make(map[poolKey][]lovageyard.BackendServer)
 	for _, b := range l.BackendServers {
 		k := poolKey{service: b.Service, site: b.Site}
