route: a refusal by the failover cap uses no token of the site's allowance

What callers saw: nothing that was reported. In serve, a request whose site takes no work was refused by the failover cap after it had taken a token of another site's allowance, so that later requests were refused for want of a grant that nobody had used. Found by reading.

Cause: the allowance was taken before the cap was asked.

Change: the token is returned if the cap refuses. The cap can't be asked first: its tokens are for requests that do move.

--- a/grant/token_bucket.go
+++ b/grant/token_bucket.go
@@ -43,6 +43,13 @@
 	return true
 }
 
+// Return gives back the token of a request that was not sent.
+func (b *TokenBucket) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens++
+}
+
 // Wait returns the time until a request is allowed, or the longest possible duration if the rate is
 // 0.
 func (b *TokenBucket) Wait(now time.Time) time.Duration {
--- a/route/class.go
+++ b/route/class.go
@@ -112,6 +112,7 @@
 			continue
 		}
 		if !r.allowFailover() {
+			s.Allowance.Return()
 			return refuse("site "+unavailable+" takes no work, and the failover cap is used up", retryAfterNoSite)
 		}
 		return Choice{Site: s.Name, Pool: s.Pool, Moved: true, Reason: ReasonGrant}
