configuration: TestSinceFromAnyVersion catches up from the first changes only

What the test missed: its replicas began with all rows of the source, so that hardly anything was left to catch up with.

Change: a replica at a version has applied the changes up to it one by one, and asks for the rest by its own position. All versions from 0 to 20 are still played, and what is compared is the same.

--- a/configuration/state_test.go
+++ b/configuration/state_test.go
@@ -51,24 +51,34 @@
 	}
 }
 
-// TestSinceFromAnyVersion checks that a replica at any version catches up by applying the result of Since.
+// A replica that has applied the first changes only, up to any version, must catch up by applying the result of Since.
 func TestSinceFromAnyVersion(t *testing.T) {
 	c := qt.New(t)
-	source := NewState()
-	for v := int64(1); v <= 20; v++ {
+	const versions = 20
+	var all []lovageyard.Changes
+	for v := int64(1); v <= versions; v++ {
 		row := classRow(string(rune('a'+v%7)), v, v%5 == 0)
-		_, err := source.Apply(lovageyard.Changes{After: v - 1, To: v, Rows: []lovageyard.Row{row}})
-		c.Assert(err, qt.IsNil)
+		all = append(all, lovageyard.Changes{After: v - 1, To: v, Rows: []lovageyard.Row{row}})
 	}
-	for at := int64(0); at <= 20; at++ {
-		replica := NewState()
-		_, err := replica.Apply(lovageyard.Changes{To: at, Rows: source.Since(lovageyard.Position{}).Rows})
-		c.Assert(err, qt.IsNil)
-		_, err = replica.Apply(source.Since(lovageyard.Position{Version: at}))
+	source := replicaOf(c, all)
+	for at := range versions + 1 {
+		replica := replicaOf(c, all[:at])
+		c.Assert(replica.Version(), qt.Equals, int64(at))
+		_, err := replica.Apply(source.Since(replica.Position()))
 		c.Assert(err, qt.IsNil)
 		c.Assert(replica.Classes(), qt.DeepEquals, source.Classes())
-		c.Assert(replica.Version(), qt.Equals, int64(20))
+		c.Assert(replica.Version(), qt.Equals, int64(versions))
+	}
+}
+
+// replicaOf returns a state to which changes have been applied one by one.
+func replicaOf(c *qt.C, changes []lovageyard.Changes) *State {
+	s := NewState()
+	for _, change := range changes {
+		_, err := s.Apply(change)
+		c.Assert(err, qt.IsNil)
 	}
+	return s
 }
 
 func BenchmarkPlansAfterOneChange(b *testing.B) {
