soak: a server that registers again over a foreign entry has returned

Cause: the soak. i-11 had registered after the copy of the store had been made; the restore undid that, the other program wrote its entry, and then the server registered again, as servers do after a restore. Its own entry was the last one in the store, but the checker was told so only of restores that bring a server's entry back, not of servers that write it again.

Change: the checker is told after the server has written again. It is also told when a restore brings the foreign entry back, which it was not before, so that arrivals after that are checked. The first time that a server left counts until it returns.

--- a/soak/check.go
+++ b/soak/check.go
@@ -359,11 +359,13 @@
 }
 
 // RecordLeaving records that a server's entry in the store says that it is leaving, or was overwritten with a
-// foreign value.
+// foreign value. The first time counts until the server returns.
 func (c *checker) RecordLeaving(server string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leftAt[server] = time.Now()
+	if _, hasLeft := c.leftAt[server]; !hasLeft {
+		c.leftAt[server] = time.Now()
+	}
 }
 
 // RecordReturn records that a server's entry in the store is valid again.
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -61,18 +61,29 @@
 		d.restoreFrom(copied, random.IntN(restoreWays))
 	}
 	time.Sleep(time.Duration(random.Int64N(int64(rewriteDelay))))
-	d.store.Rewrite()
+	d.rewrite()
 	d.check.RecordFault(affectsStore, start, time.Now())
 }
 
-// recordUndoneOverwrites records the servers whose own entries are in the store again, as the restore has undone
-// what another program had written.
-func (d *deployment) recordUndoneOverwrites() {
+// rewrite lets the operator and the servers write again what a restore has undone. A server whose entry was lost
+// registers again, also over an entry that another program has written since.
+func (d *deployment) rewrite() {
+	d.store.Rewrite()
+	d.recordOverwrites()
+}
+
+// recordOverwrites records which of the overwritten servers have their own entries in the store again, as a restore
+// or the server has undone what another program had written, and which have that program's entry again.
+func (d *deployment) recordOverwrites() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for name, overwritten := range d.overwritten {
-		if overwritten && d.store.HasLast("servers", name) {
+		switch {
+		case !overwritten:
+		case d.store.HasLast("servers", name):
 			d.check.RecordReturn(name)
+		case d.store.HasForeign("servers", name):
+			d.check.RecordLeaving(name)
 		}
 	}
 }
@@ -89,9 +100,9 @@
 	}
 	time.Sleep(restoreOutage / 2)
 	d.store.Restore(copied)
-	d.recordUndoneOverwrites()
+	d.recordOverwrites()
 	if way == restoreOvertaking {
-		d.store.Rewrite()
+		d.rewrite()
 		for n := range overtakingWrites {
 			d.store.Put("filler", strconv.Itoa(n), n)
 		}
