link: connections to distant servers are replaced before they expire

Cause: servers close connections that are idle for 10 s, and each of 68 instances sends each of 300 servers a request every 9 s or so. A request to another region is then under way for 105 ms in place of 35, so that more of them are when the traffic ends.

Change: a connection whose dial took 10 ms or more, and that is about to expire, is replaced if the server has got 1.5 recent requests or more (time constant 20 s), 32 at a time at most. Charges keep their shorter limit of 4 s. Close waits for the dials.

Test: TestRegularRequestsToDistantServerReuseConnections, requests 9 s apart: each waits for a connection before, none from the fifth on after; TestConnectionsAreReplacedForNeedOnly.

--- a/link/conn.go
+++ b/link/conn.go
@@ -30,6 +30,8 @@
 	writer *bufio.Writer
 	// writes counts the writes that were started, successful or not.
 	writes atomic.Int64
+	// dialTime is how long the connection took to open.
+	dialTime time.Duration
 	// idleSince is when the last response ended, and maxIdle how long after that the connection may
 	// be reused.
 	idleSince time.Time
--- a/link/idle.go
+++ b/link/idle.go
@@ -13,6 +13,7 @@
 		limit = nonIdempotentMaxIdle
 	}
 	now := t.timer.Now()
+	t.recordUse(p, limit, now)
 	for {
 		c := t.popIdle(p)
 		if c == nil {
@@ -65,11 +66,17 @@
 	}
 }
 
-// CloseExpired closes the connections that have been idle for too long to be reused. It should be
-// called at intervals.
+// CloseExpired closes the connections that have been idle for too long to be reused, and begins to
+// replace those to distant servers that are used regularly. It should be called every second.
 func (t *Transport) CloseExpired(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.closed {
+		return
+	}
+	for p, c := range t.expiring(now) {
+		t.renewals.Go(func() { t.renew(p, c) })
+	}
 	for p, list := range t.idle {
 		kept := list[:0]
 		for _, c := range list {
@@ -88,6 +95,12 @@
 
 // Close closes the idle connections; those in use are closed when their response ends.
 func (t *Transport) Close() {
+	t.cancel()
+	t.closeIdle()
+	t.renewals.Wait()
+}
+
+func (t *Transport) closeIdle() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.closed = true
--- a/link/link.go
+++ b/link/link.go
@@ -111,15 +111,31 @@
 	timer    lovageyard.Timer
 	observer Observer
 
+	// context ends when the Transport is closed, and renewals waits for the connections that are
+	// being replaced.
+	context  context.Context
+	cancel   context.CancelFunc
+	renewals sync.WaitGroup
+
 	mu     sync.Mutex
 	idle   map[endpoint][]*conn
+	usage  map[endpoint]*usage
 	closed bool
 	opened int64
 }
 
 // New returns a Transport without connections. The observer may be nil.
 func New(c Codec, t lovageyard.Timer, o Observer) *Transport {
-	return &Transport{codec: c, timer: t, observer: o, idle: make(map[endpoint][]*conn)}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Transport{
+		codec:    c,
+		timer:    t,
+		observer: o,
+		context:  ctx,
+		cancel:   cancel,
+		idle:     make(map[endpoint][]*conn),
+		usage:    make(map[endpoint]*usage),
+	}
 }
 
 // notifyObserver passes the backpressure of a response to the observer, unless the response is from
@@ -181,10 +197,12 @@
 
 // open opens a connection and counts it.
 func (t *Transport) open(ctx context.Context, address string) (*conn, error) {
+	began := t.timer.Now()
 	c, err := dial(ctx, address, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
+	c.dialTime = t.timer.Now().Sub(began)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.opened++
@@ -192,19 +210,17 @@
 }
 
 func (t *Transport) sendOnNewConn(ctx context.Context, r Request) (*Response, error) {
-	began := t.timer.Now()
 	c, err := t.open(ctx, r.ServerAddress)
 	if err != nil {
 		return nil, unreachableError(err)
 	}
-	took := t.timer.Now().Sub(began)
 	if r.MaySend != nil && !r.MaySend() {
 		t.putIdle(c, r.endpoint(), http.Header{})
 		return nil, withheldError()
 	}
 	response, err := t.roundTrip(ctx, c, r)
 	if response != nil {
-		response.DialTime = took
+		response.DialTime = c.dialTime
 	}
 	return response, err
 }
