detour: an instance that reaches no backend server sends requests through others

Cause: an instance knew one way to a server, its own. Partitioned, it excluded servers and then failure domains one after the other as if they had failed, and refused what was left for want of a server; look-ups went on to name it. The class: a fault of one's own taken for the fault of all others.

Change: attempts that fail at three servers while none answers for 250 ms show that the path is lost. Attempts then go through a peer (Twirp, package detour), chosen near the server and within the regions that the request is bound to. The instance that has the caller goes on to select servers and to apply budgets, accounts, Attempts, retries and deadlines; the peer sends to the address that it knows itself, keeps what the server has asked of it, never passes a request on, and says whether it may have run. A call that reached no peer has not run, one without a reply may have. Only known instances may call. Exclusions from before are dropped. Connections to three servers are opened each 500 ms, and two that are accepted end the partition. Refused connections are tried through a peer at once, so that a network that refuses them is told from a server that has exited, also by the quarantine's probes. The instance asks to be left out of look-ups, as one with an old configuration does.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -109,6 +109,10 @@
 	quota    scriptedQuota
 	// observes passes the backpressure in answers to the dispatch table.
 	observes bool
+	// address is the address of all servers, by default one that refuses connections.
+	address string
+	// path replaces sender if it is not nil.
+	path entry.Sender
 	// live makes the handler use the current view instead of the one at its creation.
 	live bool
 }
@@ -147,7 +151,7 @@
 }
 
 func newHarnessOf(t *testing.T, servers int, steps ...step) *harness {
-	h := &harness{c: qt.New(t), servers: servers, sender: &sender{steps: steps}, log: &strings.Builder{}}
+	h := &harness{c: qt.New(t), servers: servers, address: "127.0.0.1:9", sender: &sender{steps: steps}, log: &strings.Builder{}}
 	snapshot := catalog.NewState(platform.Decoder{}).Snapshot()
 	h.view = &catalog.View{Snapshot: snapshot, Ready: true}
 	h.setRoute(lovageyard.Route{
@@ -176,7 +180,7 @@
 	for n := range h.servers {
 		domain := fmt.Sprint("north-", n+1)
 		regions[domain] = "north"
-		server := fmt.Sprintf(`{"Addr":"127.0.0.1:9","Info":{"Service":"desk","Version":"v1","Zone":"%s","Slots":4},"Status":{"State":"ready","Sequence":1,"ColdLeftMs":0}}`, domain)
+		server := fmt.Sprintf(`{"Addr":"%s","Info":{"Service":"desk","Version":"v1","Zone":"%s","Slots":4},"Status":{"State":"ready","Sequence":1,"ColdLeftMs":0}}`, h.address, domain)
 		rows = append(rows, lovageyard.Row{Table: lovageyard.TableServers, Key: fmt.Sprint("i-", n+1), Version: 1, Value: []byte(server)})
 	}
 	state := catalog.NewState(platform.Decoder{Regions: regions})
@@ -199,8 +203,12 @@
 	if h.observes {
 		h.sender.observer = &entry.BackpressureObserver{Dispatch: table, Timer: timer.Clock{}, Logger: logger}
 	}
+	var path entry.Sender = h.sender
+	if h.path != nil {
+		path = h.path
+	}
 	return entry.NewHandler(entry.Settings{
-		Source: h.source(), Limits: h.limits, Codec: platform.Headers{}, Sender: h.sender, Dispatch: table, Quarantine: h.quarantine(logger), Quota: &h.quota,
+		Source: h.source(), Limits: h.limits, Codec: platform.Headers{}, Sender: path, Dispatch: table, Quarantine: h.quarantine(logger), Quota: &h.quota,
 		Timer: timer.Clock{}, Logger: logger, Metrics: meter.NewSet(), Shares: &entry.Shares{},
 	})
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -198,6 +198,9 @@
 		Server:        choice.Server.Name,
 		Incarnation:   choice.Server.Incarnation,
 		ServerAddress: choice.Server.Address,
+		ServerDomain:  choice.Server.FailureDomain,
+		ServerRegion:  choice.Server.Region,
+		Regions:       x.regions,
 	}
 }
 
@@ -207,7 +210,7 @@
 	if a.answer == nil {
 		o.Failed = true
 		// A client that disconnected, or a deadline before the answer was due, is not the server's fault.
-		o.Abandoned = a.err.Throttled || ctx.Err() != nil && (x.request.Context().Err() != nil || a.took < 2*a.choice.Expected)
+		o.Abandoned = a.err.Throttled || a.err.Inconclusive || ctx.Err() != nil && (x.request.Context().Err() != nil || a.took < 2*a.choice.Expected)
 		return o
 	}
 	o.Answered = true
--- a/entry/log.go
+++ b/entry/log.go
@@ -80,6 +80,9 @@
 	if a.choice.Object != 0 {
 		fields["object"] = strconv.FormatUint(a.choice.Object, 16)
 	}
+	if a.answer != nil && a.answer.Through != "" {
+		fields["through"] = a.answer.Through
+	}
 	if a.answer != nil {
 		addBackpressure(fields, a.answer.Meta.Backpressure)
 	}
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -54,7 +54,7 @@
 }
 
 // addresses returns the addresses that a client of a region should connect to. It prefers the region's
-// instances with the newest configuration, then the region's other instances, then those of other regions.
+// instances that are not stale, then the region's other instances, then those of other regions.
 func addresses(view *catalog.View, region string) []string {
 	var own, stale, others []string
 	for _, m := range view.Live {
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -90,6 +90,8 @@
 	// ordersUnreadable while the table of orders can't be read.
 	isRelay          atomic.Bool
 	ordersUnreadable atomic.Bool
+	// isolated is set while this instance reaches no backend server itself.
+	isolated atomic.Bool
 	// unwatched is set for each table that is not being watched, until it has been read again.
 	unwatched map[string]*atomic.Bool
 	// startedAt is when the Control was created.
@@ -208,6 +210,12 @@
 	c.inbox.Close()
 }
 
+// SetIsolated records whether this instance reaches no backend server itself. It is then left out of look-ups
+// while there are others. It is safe for concurrent use.
+func (c *Control) SetIsolated(isolated bool) {
+	c.isolated.Store(isolated)
+}
+
 // View returns the current view. It is safe for concurrent use.
 func (c *Control) View() *catalog.View {
 	return c.view.Load()
@@ -311,7 +319,7 @@
 // heartbeat increments this instance's heartbeat and updates its description of itself.
 func (c *Control) heartbeat(now time.Time) {
 	c.self.Heartbeat++
-	if stale := c.hasStaleConfiguration() || c.isSettling(); stale != c.self.Stale {
+	if stale := c.hasStaleConfiguration() || c.isSettling() || c.isolated.Load(); stale != c.self.Stale {
 		c.self.Stale = stale
 		c.dirty = true
 	}
--- a/instance.go
+++ b/instance.go
@@ -26,8 +26,8 @@
 	State           InstanceState `json:"state"`
 	// LinkMbps is the capacity of the instance's network link in Mbit/s, or 0 if unknown.
 	LinkMbps float64 `json:"link-mbps,omitzero"`
-	// Stale means that the instance may lack the newest configuration, and therefore refuses
-	// requests that carry keys.
+	// Stale means that callers are better served by other instances: this one may lack the newest
+	// configuration, and therefore refuses requests that carry keys, or reaches no backend server.
 	Stale bool `json:"behind,omitempty"`
 }
 
--- a/link/conn.go
+++ b/link/conn.go
@@ -44,10 +44,10 @@
 	return c.Conn.Write(b)
 }
 
-// dial opens a connection with TCP keep-alive that fails if the server does not acknowledge data
-// within userTimeout.
-func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
-	dialer := net.Dialer{
+// NewDialer returns a dialer of connections with TCP keep-alive that fail if the other end does not
+// acknowledge data within userTimeout.
+func NewDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
 		Timeout: timeout,
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -57,7 +57,11 @@
 			Count:    keepAliveCount,
 		},
 	}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+}
+
+// dial opens a connection to a server.
+func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	raw, err := NewDialer(timeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -74,6 +74,11 @@
 	Server        string
 	Incarnation   int64
 	ServerAddress string
+	// ServerDomain and ServerRegion are the failure domain and the region of the server.
+	ServerDomain string
+	ServerRegion string
+	// Regions are the regions that the request may pass through; empty means all.
+	Regions []string
 }
 
 // endpoint returns the endpoint that the request is sent to.
@@ -102,6 +107,8 @@
 	Meta   lovageyard.ResponseMeta
 	// DialTime is how long a new connection took; 0 if one was reused.
 	DialTime time.Duration
+	// Through is the name of the instance through which the request was sent, or "".
+	Through string
 }
 
 // Transport sends requests and keeps the idle connections to all backend servers. It is safe for
@@ -184,15 +191,20 @@
 	return nil, failure
 }
 
-// RefusesConnections reports whether a server's port refuses connections. If a connection is
-// accepted, it is kept for the next request.
-func (t *Transport) RefusesConnections(ctx context.Context, server lovageyard.BackendServer) bool {
+// Connect opens a connection to a server and keeps it for the next request.
+func (t *Transport) Connect(ctx context.Context, server lovageyard.BackendServer) error {
 	c, err := t.open(ctx, server.Address)
 	if err != nil {
-		return isRefused(err)
+		return err
 	}
 	t.putIdle(c, endpointOf(server), http.Header{})
-	return false
+	return nil
+}
+
+// RefusesConnections reports whether a server's port refuses connections. If a connection is
+// accepted, it is kept for the next request.
+func (t *Transport) RefusesConnections(ctx context.Context, server lovageyard.BackendServer) bool {
+	return isRefused(t.Connect(ctx, server))
 }
 
 // open opens a connection and counts it.
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -16,7 +16,9 @@
 	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/catalog"
 	"lovageyard.example/lovageyard/decision"
+	"lovageyard.example/lovageyard/detour"
 	"lovageyard.example/lovageyard/dispatch"
 	"lovageyard.example/lovageyard/entry"
 	"lovageyard.example/lovageyard/fleet"
@@ -66,6 +68,8 @@
 	link         *link.Transport
 	dispatch     *dispatch.Table
 	quarantine   *quarantine.Monitor
+	sender       *detour.Sender
+	detours      *detour.Server
 	control      *fleet.Control
 	limiter      *quota.Limiter
 	callerServer *http.Server
@@ -165,7 +169,20 @@
 	})
 	observer := &entry.BackpressureObserver{Dispatch: e.dispatch, Timer: e.timer, Logger: e.logger}
 	e.link = link.New(platform.Headers{}, e.timer, observer)
-	e.quarantine = quarantine.NewMonitor(quarantine.Settings{Prober: e.link, Timer: e.timer, Logger: e.logger, Metrics: e.meters})
+	e.sender = detour.NewSender(detour.Settings{
+		Self:     o.Instance,
+		Region:   o.Region,
+		Direct:   e.link,
+		Source:   viewFunc(func() *catalog.View { return e.control.View() }),
+		Codec:    platform.Headers{},
+		Observer: observer,
+		Timer:    e.timer,
+		Logger:   e.logger,
+		Metrics:  e.meters,
+		Changed:  e.pathChanged,
+	})
+	e.detours = detour.NewServer(e.sender, e.dispatch)
+	e.quarantine = quarantine.NewMonitor(quarantine.Settings{Prober: e.sender, Timer: e.timer, Logger: e.logger, Metrics: e.meters})
 	e.control = fleet.New(fleet.Settings{
 		Self:       self,
 		Feed:       e.store,
@@ -194,6 +211,14 @@
 	})
 }
 
+// viewFunc is a detour.Source that reads the view of a control loop which is created later.
+type viewFunc func() *catalog.View
+
+// View returns the current view.
+func (f viewFunc) View() *catalog.View {
+	return f()
+}
+
 // edgeSockets holds the listening sockets of an edge instance; metrics is nil if not configured.
 type edgeSockets struct {
 	callers net.Listener
@@ -240,7 +265,7 @@
 	e.callerServer = newEdgeServer(entry.NewHandler(entry.Settings{
 		Source:     e.control,
 		Codec:      platform.Headers{},
-		Sender:     e.link,
+		Sender:     e.sender,
 		Dispatch:   e.dispatch,
 		Quarantine: e.quarantine,
 		Quota:      e.limiter,
@@ -265,9 +290,18 @@
 	for _, s := range []wire.TwirpServer{wire.NewFleetServer(e.control), wire.NewQuotaServer(e.limiter)} {
 		services.Handle(s.PathPrefix(), s)
 	}
+	services.Handle(wire.DetourPathPrefix, e.detours.Handler())
 	return services
 }
 
+// pathChanged is called when this instance no longer reaches any backend server, and when it does again.
+func (e *edge) pathChanged(lost bool) {
+	if lost {
+		e.dispatch.ForgetFailures()
+	}
+	e.control.SetIsolated(lost)
+}
+
 func (e *edge) serveOther(l net.Listener, h http.Handler) {
 	server := newEdgeServer(h)
 	e.otherServers = append(e.otherServers, server)
@@ -350,9 +384,11 @@
 		e.logger.WithError(err).Warn("closing connections with requests still in flight")
 		e.callerServer.Close()
 	}
+	e.detours.Close(shutdownCtx)
 	e.limiter.Close()
 	e.control.Close()
 	e.quarantine.Close()
+	e.sender.Close()
 	for _, s := range e.otherServers {
 		s.Close()
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -52,6 +52,8 @@
 	ServersCrashed       = Metric{"servers-ended", Counter, []string{"service"}, "backend servers seen to end while they had requests"}
 	RequestsQuarantined  = Metric{"requests-held", Gauge, nil, "requests that are refused as servers end under them"}
 	ConnectionsOpened    = Metric{"connections-opened", Gauge, nil, "connections to servers opened since the start"}
+	PathLost             = Metric{"path-lost", Gauge, nil, "1 while no backend server can be reached from this instance, so that requests are sent through others"}
+	Detours              = Metric{"detours", Counter, []string{"outcome"}, "attempts at servers through other instances: answered, failed, or unavailable if the instance could not make them"}
 	ConfigurationVersion = Metric{"configuration-version", Gauge, nil, "version of the configuration in force"}
 	ConfigurationAge     = Metric{"configuration-age", Gauge, nil, "milliseconds since the configuration came into force"}
 	ConfirmationAge      = Metric{"knowledge-age", Gauge, nil, "milliseconds since the configuration in force was known to be the newest, -1 if it never was"}
@@ -80,7 +82,7 @@
 func All() []Metric {
 	return []Metric{
 		Answers, Refusals, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, InFlight,
-		ServersKnown, ServersSuspect, ServersLimited, ServersLeaving, ServersBackingOff, ServersCrashed, RequestsQuarantined, ConnectionsOpened, ConfigurationVersion, ConfigurationAge, ConfirmationAge, ContactAge,
+		ServersKnown, ServersSuspect, ServersLimited, ServersLeaving, ServersBackingOff, ServersCrashed, RequestsQuarantined, ConnectionsOpened, PathLost, Detours, ConfigurationVersion, ConfigurationAge, ConfirmationAge, ContactAge,
 		LimitReports, AccountsNearLimit, InstancesLive,
 		ChangeAge, PlatformReads, PlatformFailures, HistoryLost, OutdatedReads, PlatformRestores, RowsSkipped, PlatformWrites, PeerExchanges, PeerFailures,
 		PeerRows, PeerRowsKnown, PeerBytes,
--- a/peer/wire/fleet.twirp.go
+++ b/peer/wire/fleet.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *fleetServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *fleetServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "lovageyard.wire", "Fleet")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 804 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xbc, 0x55, 0xcf, 0x8f, 0xda, 0x46,
 	0x14, 0xae, 0x17, 0x6c, 0xc3, 0x83, 0xd5, 0x56, 0x23, 0x76, 0xd7, 0xa2, 0x3f, 0x84, 0xac, 0xaa,
--- a/peer/wire/quota.twirp.go
+++ b/peer/wire/quota.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *quotaServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *quotaServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "lovageyard.wire", "Quota")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 398 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x92, 0xcf, 0x8e, 0x94, 0x40,
 	0x10, 0xc6, 0xc3, 0xb2, 0x30, 0x4c, 0xad, 0x7f, 0x92, 0xce, 0xba, 0xe9, 0x6c, 0x56, 0x43, 0x88,
--- a/verdict.go
+++ b/verdict.go
@@ -38,6 +38,9 @@
 	ServerExited bool
 	// Throttled means that nothing was sent, because the server had signaled backpressure.
 	Throttled bool
+	// Inconclusive means that the failure says nothing about the server, as the request was lost on the way
+	// to it.
+	Inconclusive bool
 }
 
 // Error returns the reason, followed by the cause if there is one.
