--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -320,10 +320,10 @@
 	for range 40 {
 		for _, server := range []string{"a", "b", "c", "d"} {
 			_, _ = f.send("x", request("1", server))
+			f.c.Assert(f.lost["x"].Load(), qt.IsFalse)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	f.c.Assert(f.lost["x"].Load(), qt.IsFalse)
 }
 
 func TestExitedServerIsConfirmedByPeer(t *testing.T) {
--- a/detour/path.go
+++ b/detour/path.go
@@ -35,8 +35,9 @@
 	// changed is called after each change with whether the path is lost; it may be nil.
 	changed func(lost bool)
 
-	mu         sync.Mutex
-	machine    *fsm.FSM
+	mu      sync.Mutex
+	machine *fsm.FSM
+	// answeredAt is when a server last answered, or the first failure if none has.
 	answeredAt time.Time
 	// unanswered holds the servers at which attempts have failed since the last answer.
 	unanswered map[string]bool
@@ -84,6 +85,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.unanswered[server] = true
+	if p.answeredAt.IsZero() {
+		p.answeredAt = at
+	}
 	return len(p.unanswered) >= minUnanswered && at.Sub(p.answeredAt) >= minSilence
 }
 
