--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -82,6 +82,8 @@
 	outages map[string]outage
 	// cancelled receives a value when the context of an attempt at a server named "slow" is done.
 	cancelled chan struct{}
+	// attempts counts the calls of Send.
+	attempts atomic.Int64
 }
 
 func (n *network) cut(o *outage) { n.outage.Store(o) }
@@ -105,6 +107,7 @@
 }
 
 func (n *network) Send(ctx context.Context, r link.Request) (*link.Response, error) {
+	n.attempts.Add(1)
 	if o := n.outageOf(r.Server); o != nil {
 		failure := *o.send
 		return nil, &failure
@@ -263,13 +266,20 @@
 	return f.senders[from].Send(ctx, r)
 }
 
+// maxLosses is the number of failed requests, a millisecond or more apart, after which the path must be lost.
+const maxLosses = 2000
+
 // loseAt sends requests from an instance until it has lost its path.
 func (f *fleet) lose(from string) {
 	servers := []string{"a", "b", "c"}
-	for n := 0; !f.lost[from].Load(); n++ {
+	for n := range maxLosses {
+		if f.lost[from].Load() {
+			return
+		}
 		_, _ = f.send(from, request("lost", servers[n%len(servers)]))
 		time.Sleep(time.Millisecond)
 	}
+	f.c.Fatal("the path is not lost")
 }
 
 func failureOf(c *qt.C, err error) *lovageyard.RequestError {
@@ -352,12 +362,14 @@
 	f.networks["y"].cut(&hanging)
 	f.lose("x")
 	f.lose("y")
+	attempts := f.networks["y"].attempts.Load()
 	for _, id := range []string{"1", "2", "3", "4", "5"} {
 		response, err := f.send("x", request(id, "c"))
 		f.c.Assert(err, qt.IsNil)
 		f.c.Check(response.Through, qt.Equals, "z")
 		f.c.Check(f.backends.count(id), qt.Equals, 1)
 	}
+	f.c.Check(f.networks["y"].attempts.Load(), qt.Equals, attempts)
 }
 
 func TestRequestThatNoPeerCanSendIsNotRun(t *testing.T) {
--- a/fleet/confirm_test.go
+++ b/fleet/confirm_test.go
@@ -89,16 +89,18 @@
 	}())
 	defer g.stop("entry-0")
 	defer g.stop("entry-1")
-	isStale := func(name string) bool {
-		for _, m := range first.View().Live {
-			if m.Name == name {
-				return m.Stale
-			}
+	g.until("entry-1 is stale", func() bool { return considersStale(first, "entry-1") })
+	g.c.Assert(considersStale(first, "entry-0"), qt.IsFalse)
+}
+
+// considersStale reports whether an instance knows another one, or itself, as stale.
+func considersStale(c *fleet.Control, name string) bool {
+	for _, m := range c.View().Live {
+		if m.Name == name {
+			return m.Stale
 		}
-		return false
 	}
-	g.until("entry-1 is stale", func() bool { return isStale("entry-1") })
-	g.c.Assert(isStale("entry-0"), qt.IsFalse)
+	return false
 }
 
 // Rows that an instance receives from a peer when it starts do not count as confirmed.
