--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
@@ -20,9 +21,8 @@
 	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/platform"
+	"lovageyard.example/lovageyard/platform/fake"
 	"lovageyard.example/lovageyard/timer"
-
-	qt "github.com/frankban/quicktest"
 )
 
 // runCounter is a backend server that counts the runs of each request.
@@ -35,8 +35,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[request.URL.Path]++
-	w.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
-	w.Header().Set("X-Server-Seal", "seal")
+	fake.Seal(w.Header(), request.Header)
 	_, _ = io.WriteString(w, "answer to "+request.URL.Path)
 }
 
