lookup: large bodies go through high-bandwidth instances

A look-up returned all live instances of the region, so that a body of 540 KB took 0.43 s on a link of 10 Mbit/s, and traffic was spread over so many instances that none kept its connections to the servers.

Package lookup decides which instances are returned: those with at least a quarter of the region's highest bandwidth, made up to three instances in two failure domains, if the configuration has a route with large bodies and all bandwidths are known. lovageyard.Route says whether requests or responses are large. Selector has the hysteresis, but gets no utilisation yet.

Tested: go test -race ./lookup ./platform ./entry.

--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -7,6 +7,7 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
+	"lovageyard.example/lovageyard/lookup"
 	"lovageyard.example/lovageyard/platform"
 )
 
@@ -18,6 +19,10 @@
 	Source Source
 	// KeepFor is how long clients may cache an answer.
 	KeepFor time.Duration
+	// Selector selects among the instances of the client's region; nil means that all are returned.
+	Selector *lookup.Selector
+	// Timer is used only with a Selector.
+	Timer lovageyard.Timer
 }
 
 // ServeHTTP answers one look-up, or 503 while this instance is not ready.
@@ -34,7 +39,7 @@
 		return
 	}
 	answer := platform.LookUpResponse{
-		Addresses:  addresses(view, query.Region),
+		Addresses:  d.addresses(view, query.Region),
 		TTLSeconds: d.KeepFor.Seconds(),
 	}
 	if len(answer.Addresses) == 0 {
@@ -53,19 +58,43 @@
 	_, _ = w.Write(body)
 }
 
-// addresses returns the addresses that a client of a region should connect to. It prefers the region's
-// instances that are not stale, then the region's other instances, then those of other regions.
-func addresses(view *catalog.View, region string) []string {
-	var own, stale, others []string
+// addresses returns the addresses that a client of a region should connect to: those that the Selector chooses of
+// the region's instances, or those of all other regions if it has none.
+func (d *Directory) addresses(view *catalog.View, region string) []string {
+	instances := candidates(view, region)
+	if d.Selector != nil && len(instances) > 0 && instances[0].Region == region {
+		instances = d.selectInstances(view, region, instances)
+	}
+	var out []string
+	for _, m := range instances[:min(maxAddresses, len(instances))] {
+		out = append(out, m.CallerAddress)
+	}
+	return out
+}
+
+// selectInstances returns the instances of a region that the Selector chooses.
+func (d *Directory) selectInstances(view *catalog.View, region string, instances []lovageyard.EntryInstance) []lovageyard.EntryInstance {
+	selection := d.Selector.Select(lookup.Fleet{
+		Region:      region,
+		Instances:   instances,
+		LargeBodies: view.Snapshot != nil && view.Configuration != nil && view.Configuration.HasLargeBodies(),
+	}, d.Timer.Now())
+	return selection.Instances
+}
+
+// candidates returns the instances that a client of a region may connect to. It prefers the region's instances that
+// are not stale, then the region's other instances, then those of other regions.
+func candidates(view *catalog.View, region string) []lovageyard.EntryInstance {
+	var own, stale, others []lovageyard.EntryInstance
 	for _, m := range view.Live {
 		switch {
 		case m.State != lovageyard.StateLive:
 		case m.Region != region:
-			others = append(others, m.CallerAddress)
+			others = append(others, m)
 		case m.Stale:
-			stale = append(stale, m.CallerAddress)
+			stale = append(stale, m)
 		default:
-			own = append(own, m.CallerAddress)
+			own = append(own, m)
 		}
 	}
 	if len(own) == 0 {
@@ -74,7 +103,7 @@
 	if len(own) == 0 {
 		own = others
 	}
-	return own[:min(maxAddresses, len(own))]
+	return own
 }
 
 // Readiness answers the platform's readiness probes.
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -24,6 +24,7 @@
 	"lovageyard.example/lovageyard/fleet"
 	"lovageyard.example/lovageyard/freshness"
 	"lovageyard.example/lovageyard/link"
+	"lovageyard.example/lovageyard/lookup"
 	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/peer"
 	"lovageyard.example/lovageyard/peer/wire"
@@ -277,7 +278,12 @@
 	}))
 	e.serve(s.callers, e.callerServer)
 	e.serveOther(s.ready, &entry.Readiness{Source: e.control})
-	e.serveOther(s.lookUps, &entry.Directory{Source: e.control, KeepFor: min(o.KeepFor, o.KeepForMax)})
+	e.serveOther(s.lookUps, &entry.Directory{
+		Source:   e.control,
+		KeepFor:  min(o.KeepFor, o.KeepForMax),
+		Selector: lookup.NewSelector(),
+		Timer:    e.timer,
+	})
 	e.serveOther(s.peers, e.peerServices())
 	if s.metrics != nil {
 		e.serveOther(s.metrics, http.HandlerFunc(e.writeMetrics))
--- a/steering.go
+++ b/steering.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,6 +32,10 @@
 	HomeRegions []string
 	// Open means that requests need no key even if client accounts are configured.
 	Open bool
+	// LargeRequests and LargeResponses mean that the bodies of requests or of responses are large, so that
+	// the bandwidth of an instance's link matters for their latency.
+	LargeRequests  bool
+	LargeResponses bool
 }
 
 // ServiceWeight is one service of a route with its relative share of the requests.
@@ -60,6 +65,11 @@
 	MaxBodyBytes int64
 }
 
+// HasLargeBodies reports whether a route has large requests or responses.
+func (c *Configuration) HasLargeBodies() bool {
+	return slices.ContainsFunc(c.Routes, func(r Route) bool { return r.LargeRequests || r.LargeResponses })
+}
+
 // Internal names of the tables that entry instances use in edge mode.
 const (
 	TableOrders    = "orders"
