dispatch: objects on shared machines have a second home

One home for each object gives the busiest servers twice the mean load, and requests wait while other workloads slow down the home's machine.

While servers of a service report it, an object's second home is the next server in rank in the region of the first one, and a request goes to the second home if that is expected to answer sooner by 0.1 mean work times. If the first home may get no requests, the second one gets them unless it is in a region to which they would not have gone before.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -36,6 +36,8 @@
 const (
 	// RuleHome means that the server is the home of the request's object.
 	RuleHome = "home"
+	// RuleSecondHome means that it is the second home of the request's object, on a shared machine.
+	RuleSecondHome = "second-home"
 	// RuleAlternate means that it is the alternate of a home that is full or very slow.
 	RuleAlternate = "alternate"
 	// RuleLeastCost means that the request is not bound to an object.
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -71,13 +71,18 @@
 // requests and sends no reports, so that its requests would be refused for good. The candidate is
 // nil unless the server is likely to have as much room as an alternate needs.
 func (t *Table) estimateByAge(r Request, s *service, b *server) *candidate {
-	c := t.estimateAtLoad(r, s, b, b.agedLoad(s.load, r.Now))
+	c := t.estimateAtAgedLoad(r, s, b)
 	if c == nil || c.load+1 > alternateMaxLoad*float64(b.slots) {
 		return nil
 	}
 	return c
 }
 
+// estimateAtAgedLoad is estimate with less weight for old reports.
+func (t *Table) estimateAtAgedLoad(r Request, s *service, b *server) *candidate {
+	return t.estimateAtLoad(r, s, b, b.agedLoad(s.load, r.Now))
+}
+
 // estimateAtLoad is estimate with a given number of requests at the server.
 func (t *Table) estimateAtLoad(r Request, s *service, b *server, load float64) *candidate {
 	b.decay(r.Now)
@@ -93,7 +98,7 @@
 	c.work = t.workEstimate(r.Route).mean
 	c.wait = time.Duration(max(0, load+1-slots) / slots * float64(s.work.mean))
 	utilisation := utilisationCost * math.Pow(load/slots, 2) * float64(s.work.mean)
-	c.cost = t.distance(b) + time.Duration(b.slowdown*(float64(c.wait+c.work)+utilisation)) + t.penalties(r, s, b)
+	c.cost = t.distance(b) + time.Duration(b.slowdown*b.pace.at(r.Now)*(float64(c.wait+c.work)+utilisation)) + t.penalties(r, s, b)
 	return c
 }
 
--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -34,62 +34,67 @@
 	alternateMaxLoad = 1.5
 )
 
-// pickForObject returns the server for a request that concerns an object: the object's home, or its
-// alternate server if the home is full or so slow that even an uncached run finishes sooner.
+// homes are the home of an object and, if the servers share machines, its second home; see second.go.
+type homes struct {
+	first, second *server
+}
+
+// contains reports whether a server is one of the homes.
+func (h homes) contains(b *server) bool {
+	return b == h.first || b == h.second
+}
+
+// pickForObject returns the server for a request that concerns an object: one of the object's homes, or
+// its alternate server if they are full or so slow that even an uncached run finishes sooner.
 func (t *Table) pickForObject(r Request, s *service, object uint64) (*candidate, refusal) {
-	home := t.home(r, s, object)
-	if home == nil {
+	h := t.homes(r, s, object)
+	if h.first == nil {
 		return nil, refusedNoServer
 	}
-	best, why := t.pickHomeOrAlternate(r, s, object, home)
+	best, why := t.pickHomeOrAlternate(r, s, object, h)
 	if best != nil {
-		best.home = home
+		best.home = h.first
 	}
 	return best, why
 }
 
-// pickHomeOrAlternate returns the home, its alternate server, or the reason why neither takes the
-// request.
-func (t *Table) pickHomeOrAlternate(r Request, s *service, object uint64, home *server) (*candidate, refusal) {
+// pickHomeOrAlternate returns a home, the alternate server, or the reason why none takes the request.
+func (t *Table) pickHomeOrAlternate(r Request, s *service, object uint64, h homes) (*candidate, refusal) {
 	if s.overload.active {
-		return t.pickInOverload(r, s, object, home)
+		return t.pickInOverload(r, s, object, h)
 	}
-	c := t.estimate(r, s, home)
+	c := t.pickHome(r, s, h, t.estimate)
 	if c != nil && c.cost <= time.Duration((1+uncachedRunCost)*float64(s.work.mean)) {
-		return c.selected(RuleHome, "the object's home server"), refusal{}
+		return c, refusal{}
 	}
 	isOverloaded := c == nil || c.wait > s.work.mean
-	alternate := t.alternate(r, s, object, home, isOverloaded)
+	alternate := t.alternate(r, s, object, h, isOverloaded)
 	switch {
 	case c == nil && alternate == nil:
-		return t.pickFullHome(r, s, home)
+		return t.pickFullHome(r, s, h)
 	case c == nil:
 		return alternate.selected(RuleAlternate, "the object's home server is full; its alternate server has room"), refusal{}
 	case alternate != nil && alternate.cost+time.Duration(uncachedRunCost*float64(s.work.mean)) < c.cost:
 		return alternate.selected(RuleAlternate, "the object's home server is slow; its alternate server has room"), refusal{}
 	}
-	return c.selected(RuleHome, "the object's home server"), refusal{}
+	return c, refusal{}
 }
 
 // pickFullHome returns a home that is considered full, if it is by an old report only.
-func (t *Table) pickFullHome(r Request, s *service, home *server) (*candidate, refusal) {
-	c := t.estimateByAge(r, s, home)
+func (t *Table) pickFullHome(r Request, s *service, h homes) (*candidate, refusal) {
+	c := t.pickHome(r, s, h, t.estimateByAge)
 	if c == nil {
-		return nil, refusal{cause: CauseHomeFull, reason: "the object's home is full, and its stand-in has no room", home: home}
+		return nil, refusal{cause: CauseHomeFull, reason: "the object's home is full, and its stand-in has no room", home: h.first}
 	}
-	return c.selected(RuleHome, "the object's home server; the report that it is full is old"), refusal{}
+	c.reason += "; the report that it is full is old"
+	return c, refusal{}
 }
 
-// home returns the highest ranked eligible server for the object, as seen from this region.
-func (t *Table) home(r Request, s *service, object uint64) *server {
-	return t.highestRanked(r, s, object, nil)
-}
-
-// highestRanked returns the highest ranked eligible server for the object other than the excluded
-// one, as seen from this region.
-func (t *Table) highestRanked(r Request, s *service, object uint64, excluded *server) *server {
-	local := t.topRanked(r, s, object, func(b *server) bool { return b != excluded && b.Region == t.settings.Region })
-	remote := t.topRanked(r, s, object, func(b *server) bool { return b != excluded && b.Region != t.settings.Region })
+// highestRanked returns the highest ranked server for the object among those that the filter admits, as seen
+// from this region, other than the excluded homes.
+func (t *Table) highestRanked(r Request, s *service, object uint64, excluded homes, admits filter) *server {
+	local := t.topRanked(r, s, object, admits, func(b *server) bool { return !excluded.contains(b) && b.Region == t.settings.Region })
+	remote := t.topRanked(r, s, object, admits, func(b *server) bool { return !excluded.contains(b) && b.Region != t.settings.Region })
 	switch {
 	case local == nil:
 		return remote
@@ -116,19 +121,19 @@
 	}
 }
 
-// alternate returns the server that handles an object's requests while its home can't, or nil if
+// alternate returns the server that handles an object's requests while its homes can't, or nil if
 // that has no room.
 //
 // For an overloaded home it is the next in rank among all servers. Clients that are refused return,
 // and where a few homes are overloaded, those who return would otherwise all run in the regions of
 // these homes. If too many requests leave a region, or enter it, and for a home that fails, it is
 // the next in rank in the home's region.
-func (t *Table) alternate(r Request, s *service, object uint64, home *server, isOverloaded bool) *candidate {
+func (t *Table) alternate(r Request, s *service, object uint64, h homes, isOverloaded bool) *candidate {
 	var next *server
 	if isOverloaded {
-		next = t.nextInRank(r, s, object, home)
+		next = t.nextInRank(r, s, object, h)
 	} else {
-		next = t.nextInRegion(r, s, object, home)
+		next = t.nextInRegion(r, s, object, h)
 	}
 	if next == nil {
 		return nil
@@ -140,33 +145,36 @@
 	return c
 }
 
-// nextInRegion returns the highest ranked eligible server of the home's region other than the home.
-func (t *Table) nextInRegion(r Request, s *service, object uint64, home *server) *server {
-	return t.topRanked(r, s, object, func(b *server) bool { return b != home && b.Region == home.Region })
+// nextInRegion returns the highest ranked eligible server of the homes' region other than the homes.
+func (t *Table) nextInRegion(r Request, s *service, object uint64, h homes) *server {
+	return t.topRanked(r, s, object, t.isEligible, func(b *server) bool { return !h.contains(b) && b.Region == h.first.Region })
 }
 
-// nextInRank returns the highest ranked eligible server other than the home, in the home's region if
+// nextInRank returns the highest ranked eligible server other than the homes, in their region if
 // the limit on displaced requests does not allow another one.
-func (t *Table) nextInRank(r Request, s *service, object uint64, home *server) *server {
-	next := t.highestRanked(r, s, object, home)
-	if next == nil || next.Region == home.Region {
+func (t *Table) nextInRank(r Request, s *service, object uint64, h homes) *server {
+	next := t.highestRanked(r, s, object, h, t.isEligible)
+	if next == nil || next.Region == h.first.Region {
 		return next
 	}
-	if t.displacement.admits(home.Region, next.Region, t.settings.Shift, objectRank(object), r.Now) {
+	if t.displacement.admits(h.first.Region, next.Region, t.settings.Shift, objectRank(object), r.Now) {
 		return next
 	}
-	return t.nextInRegion(r, s, object, home)
+	return t.nextInRegion(r, s, object, h)
 }
 
-// topRanked returns the highest ranked eligible server for the object among those that the filter
-// admits, or nil.
-func (t *Table) topRanked(r Request, s *service, object uint64, admits func(*server) bool) *server {
+// filter reports whether a server may be considered for a request.
+type filter func(r Request, s *service, b *server) bool
+
+// topRanked returns the highest ranked server for the object among those that the filter and the
+// condition admit, or nil.
+func (t *Table) topRanked(r Request, s *service, object uint64, admits filter, condition func(*server) bool) *server {
 	var best *server
 	for _, b := range s.servers {
-		if !admits(b) || best != nil && b.rendezvousScore(object) <= best.rendezvousScore(object) {
+		if !condition(b) || best != nil && b.rendezvousScore(object) <= best.rendezvousScore(object) {
 			continue
 		}
-		if t.isEligible(r, s, b) {
+		if admits(r, s, b) {
 			best = b
 		}
 	}
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -142,20 +142,20 @@
 	s.overload.report(isLate, hasRoom, gap, now)
 }
 
-// pickInOverload returns the home of an object while the service is overloaded, or a refusal. As the home sends no
+// pickInOverload returns a home of an object while the service is overloaded, or a refusal. As the home sends no
 // reports while its requests are refused, its load is estimated by the age of the last one.
-func (t *Table) pickInOverload(r Request, s *service, object uint64, home *server) (*candidate, refusal) {
-	c := t.estimateAtLoad(r, s, home, home.agedLoad(s.load, r.Now))
+func (t *Table) pickInOverload(r Request, s *service, object uint64, h homes) (*candidate, refusal) {
+	c := t.pickHome(r, s, h, t.estimateAtAgedLoad)
 	limit := s.maxWait(t.largestDistance())
 	if c == nil {
 		s.overload.admits(limit, limit, objectRank(object), r.Now)
-		return nil, refusal{cause: CauseHomeFull, reason: "the service is overloaded, and the object's home is full", home: home}
+		return nil, refusal{cause: CauseHomeFull, reason: "the service is overloaded, and the object's home is full", home: h.first}
 	}
-	wait := c.wait - s.queueWait(1, home.slots)
+	wait := c.wait - s.queueWait(1, c.server.slots)
 	if !s.overload.admits(max(0, wait), limit, objectRank(object), r.Now) {
-		return nil, refusal{cause: CauseOverload, reason: "the service is overloaded, and the object's home is busy", home: home}
+		return nil, refusal{cause: CauseOverload, reason: "the service is overloaded, and the object's home is busy", home: h.first}
 	}
-	return c.selected(RuleHome, "the object's home server"), refusal{}
+	return c, refusal{}
 }
 
 // largestDistance returns the round-trip time of the failure domain that is farthest. With one limit for all
--- /dev/null
+++ b/dispatch/second.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// With a home at one server, the busiest servers get twice the mean load, and an object waits while other
+// workloads slow down its home's machine. Where servers share machines, each object therefore has two homes,
+// and each server caches the objects of both kinds. Both homes are in one region, so that the choice between
+// them does not change which region runs a request.
+
+// secondHomeMargin is by how much the second home must be faster than the first one, in mean work times of the
+// service, so that an object does not alternate between homes that are equally loaded.
+const secondHomeMargin = 0.1
+
+// homes returns the servers at which the object is cached and that may get the request.
+func (t *Table) homes(r Request, s *service, object uint64) homes {
+	if !s.sharesMachines {
+		return homes{first: t.highestRanked(r, s, object, homes{}, t.isEligible)}
+	}
+	h := t.listedHomes(r, s, object)
+	if h.second != nil && !t.isEligible(r, s, h.second) {
+		h.second = nil
+	}
+	if h.first != nil && t.isEligible(r, s, h.first) {
+		return h
+	}
+	return t.homesWithoutFirst(r, s, object, h.second)
+}
+
+// listedHomes returns both homes of an object, whether or not they may get requests at present.
+func (t *Table) listedHomes(r Request, s *service, object uint64) homes {
+	h := homes{first: t.highestRanked(r, s, object, homes{}, t.isListed)}
+	if h.first != nil {
+		h.second = t.topRanked(r, s, object, t.isListed, func(b *server) bool { return b != h.first && b.Region == h.first.Region })
+	}
+	return h
+}
+
+// isListed reports whether a server may be the home of the request's object.
+func (t *Table) isListed(r Request, _ *service, b *server) bool {
+	return b.isAvailable() && (len(r.Regions) == 0 || slices.Contains(r.Regions, b.Region))
+}
+
+// homesWithoutFirst returns the home while the first one may not get requests. It is the second one, unless that
+// would send the request to another region than the next server in rank, as the whole region may be unreachable.
+func (t *Table) homesWithoutFirst(r Request, s *service, object uint64, second *server) homes {
+	next := t.highestRanked(r, s, object, homes{}, t.isEligible)
+	if second != nil && (second.Region == t.settings.Region || second.Region == next.Region) {
+		next = second
+	}
+	return homes{first: next}
+}
+
+// pickHome returns the home that answers a request sooner, or nil if both are full.
+func (t *Table) pickHome(r Request, s *service, h homes, estimate estimator) *candidate {
+	first := estimate(r, s, h.first)
+	if first != nil {
+		first.selected(RuleHome, "the object's home server")
+	}
+	if h.second == nil {
+		return first
+	}
+	second := estimate(r, s, h.second)
+	if second == nil {
+		return first
+	}
+	margin := time.Duration(secondHomeMargin * float64(s.work.mean))
+	if first != nil && second.cost+margin >= first.cost {
+		return first
+	}
+	return second.selected(RuleSecondHome, "the object's second home server, which is expected to answer sooner")
+}
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -52,6 +52,7 @@
 	othersMean          float64
 	othersAt            time.Time
 	slowdown            float64
+	pace                pace
 	failureRate         float64
 	decayedAt           time.Time
 	consecutiveFailures int
@@ -140,6 +141,7 @@
 	}
 	s.othersMean += othersMeanWeight * (s.others - s.othersMean)
 	s.othersAt = now
+	s.pace.update(r.Pace, now)
 }
 
 // decay reduces the weight of old observations.
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -26,6 +26,7 @@
 	cached    map[string]*list.Element
 	slowdown  float64
 	down      bool
+	machine   machine
 }
 
 // work returns how long a request runs, given the time of an uncached run, and adds its object to
@@ -120,7 +121,14 @@
 	slowFactor       float64
 	// restartAt is when all instances are replaced by ones that know nothing; 0 means never.
 	restartAt time.Duration
-	seed      uint64
+	// slowShare of the time other workloads slow down each server's machine by slowPace, for slowLength
+	// at a time on average. Servers report their pace if reportsPace is set.
+	slowShare, slowPace float64
+	slowLength          time.Duration
+	reportsPace         bool
+	// longShare of the runs take longFactor times as long.
+	longShare, longFactor float64
+	seed                  uint64
 }
 
 // burst multiplies the rate of requests by factor between two times since the start. It affects one
@@ -155,11 +163,15 @@
 	order                     int
 	servers                   []*simServer
 	requests, inGoal, refused int
+	// busy is the time for which slots were busy.
+	busy time.Duration
 	// sentAt counts the requests by the second, and fullAt the attempts that were refused by the second
 	// because a server was full, by the server or by an instance that considered it full.
 	sentAt, fullAt map[int]int
 	// refusedAt counts the attempts that instances refused by the second.
 	refusedAt map[int]int
+	// inGoalAt counts the requests that were answered within the goal by the second in which they arrived.
+	inGoalAt map[int]int
 	// windows counts, for each region and window of 2 s, all requests and those that ran elsewhere.
 	windows map[string]map[int][2]int
 	// sentTo holds the servers that each object was sent to.
@@ -203,11 +215,13 @@
 
 func newSimulation(l workload) *simulation {
 	m := &simulation{workload: l, random: rand.New(rand.NewPCG(1, l.seed)), now: start}
+	machines := rand.New(rand.NewPCG(2, l.seed))
 	m.windows = make(map[string]map[int][2]int)
 	m.sentTo = make(map[string]map[string]bool)
 	m.sentAt = make(map[int]int)
 	m.fullAt = make(map[int]int)
 	m.refusedAt = make(map[int]int)
+	m.inGoalAt = make(map[int]int)
 	m.first = make(map[string]regionCounts)
 	m.returned = make(map[string]regionCounts)
 	for _, region := range regions {
@@ -220,6 +234,7 @@
 				Name: fmt.Sprintf("%s-%d", region, i), Service: "desk", Region: region, FailureDomain: region + "-1",
 				Slots: l.slots, State: lovageyard.StateLive,
 			}
+			s.machine = newMachine(l, machines)
 			m.servers = append(m.servers, s)
 		}
 	}
@@ -267,7 +282,12 @@
 	s.running++
 	spread := 0.85 + 0.3*m.random.Float64()
 	took := time.Duration(spread * float64(s.work(r, m.uncachedWork)))
-	m.at(now.Add(took), func(now time.Time) {
+	if m.longShare > 0 && m.random.Float64() < m.longShare {
+		took = time.Duration(m.longFactor * float64(took))
+	}
+	end := s.machine.finish(now, took)
+	m.busy += end.Sub(now)
+	m.at(end, func(now time.Time) {
 		s.running--
 		m.at(now.Add(distance(r.region, s)), func(now time.Time) { r.done(false, now) })
 		for len(s.queue) > 0 {
@@ -391,6 +411,7 @@
 		}
 		if !notRun && at.Sub(r.arrived) <= m.goal {
 			m.inGoal++
+			m.inGoalAt[int(r.arrived.Sub(start).Seconds())]++
 		}
 	}
 	m.send(s, r)
@@ -551,12 +572,12 @@
 		}
 		s := byName[choice.Server.Name]
 		return s, func(notRun bool, at time.Time) {
+			load := lovageyard.LoadReport{InFlight: s.running, Queued: len(s.queue), Slots: s.Slots}
+			if m.reportsPace {
+				load.Pace = s.machine.pace(at)
+			}
 			table.Done(choice, dispatch.Outcome{
-				At: at, Answered: true, NotRun: notRun,
-				Meta: lovageyard.ResponseMeta{
-					Reported: true,
-					Load:     lovageyard.LoadReport{InFlight: s.running, Queued: len(s.queue), Slots: s.Slots},
-				},
+				At: at, Answered: true, NotRun: notRun, Meta: lovageyard.ResponseMeta{Reported: true, Load: load},
 			})
 		}
 	}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -119,6 +119,9 @@
 	goal time.Duration
 	// ownWeight is the weight of the own region's servers in the choice of homes.
 	ownWeight float64
+	// sharesMachines means that servers of the service report the pace of their machines, so that objects
+	// have two homes.
+	sharesMachines bool
 	// fullQueueRank is the rank up to which requests may fill the queues.
 	fullQueueRank int
 }
@@ -226,6 +229,7 @@
 	}
 	for _, s := range t.services {
 		t.updateOwnWeight(s)
+		s.sharesMachines = slices.ContainsFunc(s.servers, func(b *server) bool { return b.pace.isKnown() })
 	}
 }
 
@@ -319,6 +323,7 @@
 	if o.Meta.Reported {
 		lastReport := s.othersAt
 		s.applyReport(o.Meta.Load, s.inFlight, o.At)
+		c.service.sharesMachines = c.service.sharesMachines || s.pace.isKnown()
 		c.service.load.update(s.others/float64(s.slots), o.At)
 		t.reportLoad(c.service, s, o.Meta.Load, o.At.Sub(lastReport), o.At)
 	}
@@ -361,7 +366,7 @@
 		return
 	}
 	took := o.At.Sub(c.sentAt) - t.distance(c.server) - o.DialTime
-	c.server.updateSlowdown(took, c.Wait+c.work)
+	c.server.updateSlowdown(took, expectedAtPace(c.Wait+c.work, o.Meta))
 	c.service.measured = true
 	waited := c.Wait
 	if o.Meta.Reported {
@@ -373,6 +378,15 @@
 	}
 }
 
+// expectedAtPace returns the expected duration of a run at the pace that its response reports, so that the
+// server's slowdown does not include the pace.
+func expectedAtPace(usual time.Duration, m lovageyard.ResponseMeta) time.Duration {
+	if !m.Reported || m.Load.Pace <= 0 {
+		return usual
+	}
+	return time.Duration(min(maxPace, max(minPace, m.Load.Pace)) * float64(usual))
+}
+
 // updateDistance updates the round-trip time of a failure domain, which is the least connection
 // time seen.
 func (t *Table) updateDistance(domain string, took time.Duration) {
--- a/instance.go
+++ b/instance.go
@@ -67,6 +67,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// MeanMs is the recent mean service time of a request, in milliseconds.
 	MeanMs float64 `json:"mean-ms,omitempty"`
+	// Pace is the current execution time on the server's machine in multiples of the usual one, or 0 if
+	// the server does not report it.
+	Pace float64 `json:"-"`
 }
 
 // Outcome is the result of one attempt at a backend server, as used to update the server's state.
