entry: a refusal by a server with free slots is retried at once

Cause: a caller whose request a server refused as not run was told to come back after half of the expected response time, 100 to 150 ms, as if it had to wait for a queue.

Change: if the refusal's load report shows a free slot, Retry-After is that of requests that another instance may serve at once (50 ms).

The test failed before.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -44,7 +44,17 @@
 		x.reject(http.StatusBadRequest, "the server finds the request malformed")
 		return
 	}
-	x.refuse(causeServer, a.reason(), max(immediateRetry, a.choice.Expected/2, x.retryAfter), a)
+	x.refuse(causeServer, a.reason(), max(immediateRetry, a.expectedDelay(), x.retryAfter), a)
+}
+
+// expectedDelay returns the time after which the server that refused the request is likely to accept it. A server
+// that reports free slots does not refuse for lack of room, so that waiting does not help.
+func (a *attempt) expectedDelay() time.Duration {
+	load := a.answer.Meta.Load
+	if a.answer.Meta.Reported && load.InFlight+load.Queued < load.Slots {
+		return 0
+	}
+	return a.choice.Expected / 2
 }
 
 // forwardAnswer sends the server's complete answer to the client.
--- a/entry/backpressure_test.go
+++ b/entry/backpressure_test.go
@@ -71,3 +71,20 @@
 	h.c.Assert(h.sender.sent[0].MaySend(), qt.IsFalse)
 	h.c.Assert(h.sender.sent[0].MayResend(), qt.IsFalse)
 }
+
+// A caller whose request a server with free slots refused must not wait for a queue that the server does not have.
+func TestRefusalByServerWithFreeSlotsIsRetriedAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		queued int
+		atOnce bool
+	}{{0, true}, {3, false}} {
+		refusal := notRun(http.StatusServiceUnavailable)
+		refusal.answer.Meta.Reported = true
+		refusal.answer.Meta.Load = lovageyard.LoadReport{Slots: 4, InFlight: 1 + test.queued, Queued: test.queued}
+		h := newHarness(t, refusal)
+		h.setRoute(lovageyard.Route{Name: "r", Host: "a.example", Prefix: "/x/", Goal: 2 * time.Second, Timeout: 8 * time.Second, Attempts: 1})
+		response := h.send(http.MethodGet, "/x/", "")
+		h.c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		h.c.Check(response.Header.Get("Retry-After") == "0.050", qt.Equals, test.atOnce, qt.Commentf("%d queued", test.queued))
+	}
+}
