lookup: low-bandwidth instances are returned when the others are utilised

Look-ups left out low-bandwidth instances whatever the load of the others.

Each instance measures its utilisation (package utilisation: processor time by getrusage against the new setting cpu-quota, bytes of clients' connections against link-mbps, averaged over 3 s) and sends it in Member and Pulse messages, in thousandths. It is optional there, so that messages of earlier versions apply as before, and a heartbeat without it keeps the last report. Directory passes the reports to the Selector, logs changes of a region's selection and counts look-ups. While all instances are returned, the lower threshold is compared with the utilisation that the high-bandwidth ones would have alone: the measured one falls as soon as clients spread, and the selection would alternate under constant load.

Tested: go test -race of lookup, utilisation, entry, fleet, instance, peer, meter, quota, catalog, and the settings' tests of lovageyardd.

--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -5,9 +5,12 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
 	"lovageyard.example/lovageyard/lookup"
+	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/platform"
 )
 
@@ -21,10 +24,25 @@
 	KeepFor time.Duration
 	// Selector selects among the instances of the client's region; nil means that all are returned.
 	Selector *lookup.Selector
-	// Timer is used only with a Selector.
-	Timer lovageyard.Timer
+	// The fields below are used only with a Selector.
+	Utilisation Utilisation
+	Timer       lovageyard.Timer
+	Logger      *logrus.Logger
+	Metrics     *meter.Set
+}
+
+// Utilisation provides the last known utilisation of instances.
+type Utilisation interface {
+	// Utilisation returns fractions of the instances' capacity, by name.
+	Utilisation() map[string]float64
 }
 
+// Selections of look-ups, as metrics name them.
+const (
+	selectionAll           = "all"
+	selectionHighBandwidth = "high-bandwidth"
+)
+
 // ServeHTTP answers one look-up, or 503 while this instance is not ready.
 func (d *Directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != platform.LookUpPath {
@@ -78,10 +96,34 @@
 		Region:      region,
 		Instances:   instances,
 		LargeBodies: view.Snapshot != nil && view.Configuration != nil && view.Configuration.HasLargeBodies(),
+		Utilisation: d.Utilisation.Utilisation(),
 	}, d.Timer.Now())
+	d.report(region, selection, len(instances))
 	return selection.Instances
 }
 
+// report logs a change of a region's selection and updates the metrics.
+func (d *Directory) report(region string, s lookup.Selection, candidates int) {
+	if !s.Decided {
+		d.Metrics.Count(meter.LookUps, selectionAll)
+		return
+	}
+	name, message := selectionAll, "look-ups return all instances of the region"
+	if s.Narrowed {
+		name, message = selectionHighBandwidth, "look-ups return the high-bandwidth instances of the region"
+	}
+	d.Metrics.Count(meter.LookUps, name)
+	d.Metrics.Update(meter.RegionUtilisation, int64(1000*s.Utilisation), region)
+	if s.Changed {
+		d.Logger.WithFields(logrus.Fields{
+			"region":      region,
+			"utilisation": s.Utilisation,
+			"returned":    len(s.Instances),
+			"candidates":  candidates,
+		}).Info(message)
+	}
+}
+
 // candidates returns the instances that a client of a region may connect to. It prefers the region's instances that
 // are not stale, then the region's other instances, then those of other regions.
 func candidates(view *catalog.View, region string) []lovageyard.EntryInstance {
--- a/entry/lookup_test.go
+++ b/entry/lookup_test.go
@@ -5,15 +5,18 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
 	"lovageyard.example/lovageyard/entry"
 	"lovageyard.example/lovageyard/lookup"
+	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/platform"
 	"lovageyard.example/lovageyard/timer"
 )
@@ -33,9 +36,17 @@
 	return view
 }
 
+// reports is the reported utilisation of instances, by name.
+type reports map[string]float64
+
+func (r reports) Utilisation() map[string]float64 { return r }
+
 // newDirectory returns a Directory that selects instances.
 func newDirectory(view *catalog.View) *entry.Directory {
-	return &entry.Directory{Source: source{view: view}, KeepFor: time.Second, Selector: lookup.NewSelector(), Timer: timer.Clock{}}
+	return &entry.Directory{
+		Source: source{view: view}, KeepFor: time.Second, Selector: lookup.NewSelector(), Timer: timer.Clock{},
+		Utilisation: make(reports), Logger: logrus.New(), Metrics: meter.NewSet(),
+	}
 }
 
 // lookUp returns the addresses in the answer to a look-up.
@@ -62,6 +73,21 @@
 	c.Assert(lookUp(c, directory, "north"), qt.DeepEquals, []string{"l1", "l2", "l3"})
 }
 
+// When the high-bandwidth instances don't suffice, all are returned, and operators can see it in the log and the metrics.
+func TestLookUpReturnsAllInstancesOfABusyRegion(t *testing.T) {
+	c := qt.New(t)
+	directory := newDirectory(lookUpView(true))
+	var log, metrics strings.Builder
+	directory.Logger.SetOutput(&log)
+	directory.Utilisation = reports{"h1": 0.7, "h2": 0.7, "h3": 0.7, "h4": 0.7}
+	for range 2 {
+		c.Assert(lookUp(c, directory, "north"), qt.HasLen, 7)
+	}
+	c.Assert(strings.Count(log.String(), "look-ups return all instances of the region"), qt.Equals, 1)
+	directory.Metrics.Write(&metrics)
+	c.Assert(metrics.String(), qt.Contains, "region-utilisation.north")
+}
+
 // Deployments without large bodies are answered as if there were no selection.
 func TestLookUpWithoutLargeBodiesReturnsAllInstances(t *testing.T) {
 	c := qt.New(t)
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -54,6 +54,12 @@
 	SetInstances(names []string, now time.Time)
 }
 
+// Meter measures the utilisation of this instance; see utilisation.Meter.
+type Meter interface {
+	// Measure returns the mean utilisation until a monotonic time, and whether it is known.
+	Measure(now time.Duration) (utilisation float64, known bool)
+}
+
 // Settings holds the dependencies and parameters of a Control.
 type Settings struct {
 	Self      lovageyard.EntryInstance
@@ -67,6 +73,8 @@
 	Timer      lovageyard.Timer
 	Logger     *logrus.Logger
 	Metrics    *meter.Set
+	// Utilisation is measured once per tick; nil means that this instance reports none.
+	Utilisation Meter
 	// Seeds holds addresses of peers to contact while no other peer is known.
 	Seeds []string
 	// Seed seeds the random choice of peers.
@@ -84,6 +92,8 @@
 	settings Settings
 	inbox    *inbox.Inbox[*Control]
 	view     atomic.Pointer[catalog.View]
+	// utilisation holds the last known utilisation of instances, by name.
+	utilisation atomic.Pointer[map[string]float64]
 	// watchesPlatform is set while this instance watches the platform itself.
 	watchesPlatform atomic.Bool
 	// isRelay is set while other instances may rely on this one to watch the platform, and
@@ -188,6 +198,7 @@
 		c.unwatched[table].Store(true)
 	}
 	c.members.SetSuspectTimeout(suspectTimeout)
+	c.utilisation.Store(&map[string]float64{})
 	c.watchesPlatform.Store(true)
 	c.isRelay.Store(true)
 	c.publish()
@@ -261,7 +272,9 @@
 }
 
 func (c *Control) tick(now time.Time) {
+	c.measureUtilisation()
 	c.heartbeat(now)
+	c.publishUtilisation()
 	if c.members.Tick(now) {
 		c.dirty = true
 	}
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -162,6 +162,8 @@
 			Leaving:   m.State != lovageyard.StateLive,
 			Behind:    m.Stale,
 			AgeMs:     m.Age.Milliseconds(),
+
+			Utilisation: peer.FromUtilisation(m),
 		})
 	}
 	return out
@@ -257,10 +259,14 @@
 	if !known {
 		return
 	}
+	if m.Incarnation != p.GetLife() {
+		m.UtilisationKnown = false
+	}
 	m.Incarnation = p.GetLife()
 	m.Heartbeat = p.GetHeartbeat()
 	m.Age = time.Duration(p.GetAgeMs()) * time.Millisecond
 	m.Stale = p.GetBehind()
+	peer.SetUtilisation(&m, p.Utilisation)
 	m.State = lovageyard.StateLive
 	if p.GetLeaving() {
 		m.State = lovageyard.StateLeaving
--- a/instance/table.go
+++ b/instance/table.go
@@ -34,6 +34,10 @@
 	Version int64
 	// Steps holds the member's progress, by class.
 	Steps []Step
+	// Utilisation is the used fraction of the member's capacity; it is valid only if UtilisationKnown is set. It is
+	// not part of EntryInstance, as a change of it is no change of the member's description.
+	Utilisation      float64
+	UtilisationKnown bool
 	// Age is how old the description was when it was received; it is 0 for direct messages.
 	Age time.Duration
 }
--- a/lookup/selector.go
+++ b/lookup/selector.go
@@ -44,6 +44,8 @@
 type Selection struct {
 	// Instances are the instances to return. The caller must not change the list.
 	Instances []lovageyard.EntryInstance
+	// Decided means that the region has instances that may be left out; the fields below are valid only then.
+	Decided bool
 	// Narrowed means that low-bandwidth instances are left out, although they may make up the minimum number.
 	Narrowed bool
 	// Changed means that Narrowed is not what it was at the region's last selection.
@@ -97,6 +99,7 @@
 	state.update(utilisation, float64(len(f.Instances))/float64(len(preferred)), now)
 	selection := Selection{
 		Instances:   preferred,
+		Decided:     true,
 		Narrowed:    !state.wide,
 		Changed:     state.narrowed == state.wide,
 		Utilisation: utilisation,
--- a/lookup/selector_test.go
+++ b/lookup/selector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -73,6 +74,107 @@
 	c.Assert(selector.Select(fleet(nil), startedAt).Instances, qt.HasLen, 0)
 }
 
+// use sets the utilisation of the high-bandwidth instances.
+func use(f lookup.Fleet, utilisation float64) {
+	for _, i := range f.Instances {
+		if i.LinkMbps > 10 {
+			f.Utilisation[i.Name] = utilisation
+		}
+	}
+}
+
+// High-bandwidth instances that don't suffice must not get all clients, and a load close to a threshold must not change
+// the selection back and forth: each change moves clients to other connections.
+func TestSelectionWidensWhenUtilisedAndNarrowsWithDelay(t *testing.T) {
+	c := qt.New(t)
+	selector := lookup.NewSelector()
+	f := fleet(region(2, 2))
+	for _, step := range []struct {
+		at          time.Duration
+		utilisation float64
+		want        int
+		changed     bool
+	}{
+		{0, 0.59, 4, false},
+		{time.Second, 0.6, 8, true},
+		// All instances are returned, so that the high-bandwidth ones alone would have twice the utilisation.
+		{2 * time.Second, 0.3, 8, false},
+		{8 * time.Second, 0.18, 8, false},
+		{9 * time.Second, 0.17, 8, false},
+		{13 * time.Second, 0.18, 8, false},
+		{14 * time.Second, 0.17, 8, false},
+		{18900 * time.Millisecond, 0.17, 8, false},
+		{19 * time.Second, 0.17, 4, true},
+		{20 * time.Second, 0.59, 4, false},
+	} {
+		use(f, step.utilisation)
+		selection := selector.Select(f, startedAt.Add(step.at))
+		c.Assert(selection.Instances, qt.HasLen, step.want, qt.Commentf("%s", step.at))
+		c.Assert(selection.Changed, qt.Equals, step.changed, qt.Commentf("%s", step.at))
+	}
+}
+
+// Under periodic load, the selection must change at most twice in each period, and under constant load at most once. The
+// utilisation follows the selection with a delay, as clients keep answers for 2 s and reports are averages.
+func TestSelectionDoesNotAlternateUnderLoad(t *testing.T) {
+	const period, periods = 60, 5
+	for _, low := range []int{8, 16} {
+		for _, variation := range []float64{0, 0.55} {
+			for mean := 0.1; mean < 1.2; mean += 0.05 {
+				c := qt.New(t)
+				selector := lookup.NewSelector()
+				f := fleet(region(2, low))
+				utilisation, changes := 0.0, 0
+				for second := range period * periods {
+					load := mean * (1 + variation*math.Sin(2*math.Pi*float64(second)/period))
+					use(f, utilisation)
+					selection := selector.Select(f, startedAt.Add(time.Duration(second)*time.Second))
+					if selection.Changed {
+						changes++
+					}
+					// Load is that of the four high-bandwidth instances if they serve all requests.
+					utilisation += (load*4/float64(len(selection.Instances)) - utilisation) / 3
+				}
+				limit := 1
+				if variation > 0 {
+					limit = 2 * periods
+				}
+				c.Assert(changes <= limit, qt.IsTrue, qt.Commentf("%d changes, %d low-bandwidth instances, load %.2f, variation %.2f", changes, low, mean, variation))
+			}
+		}
+	}
+}
+
+// During an upgrade some instances report no utilisation. They must not make the others look idle, and regions must not
+// share their state.
+func TestInstancesWithoutReport(t *testing.T) {
+	c := qt.New(t)
+	selector := lookup.NewSelector()
+	f := fleet(region(2, 4))
+	f.Utilisation["north-1-high-0"] = 0.9
+	c.Assert(selector.Select(f, startedAt).Narrowed, qt.IsFalse)
+	other := fleet(region(2, 4))
+	other.Region = "south"
+	c.Assert(selector.Select(other, startedAt).Narrowed, qt.IsTrue)
+	c.Assert(selector.Select(f, startedAt).Narrowed, qt.IsFalse)
+}
+
+// When most high-bandwidth instances are lost, the low-bandwidth ones that make up the minimum are soon overloaded,
+// although the remaining high-bandwidth ones are not.
+func TestUtilisationOfInstancesThatMakeUpTheMinimumCounts(t *testing.T) {
+	c := qt.New(t)
+	var instances []lovageyard.EntryInstance
+	for _, i := range region(1, 4) {
+		if i.Name != "north-2-high-0" {
+			instances = append(instances, i)
+		}
+	}
+	f := fleet(instances)
+	use(f, 0.2)
+	f.Utilisation["north-1-low-0"], f.Utilisation["north-2-low-0"] = 1, 1
+	c.Assert(lookup.NewSelector().Select(f, startedAt).Instances, qt.HasLen, len(instances))
+}
+
 // A client must have another instance to connect to when one instance or one failure domain is lost.
 func TestMinimumNumbersAreMadeUp(t *testing.T) {
 	c := qt.New(t)
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -33,6 +33,7 @@
 	"lovageyard.example/lovageyard/quota"
 	"lovageyard.example/lovageyard/settings"
 	"lovageyard.example/lovageyard/timer"
+	"lovageyard.example/lovageyard/utilisation"
 )
 
 // Limits and periods of an edge instance.
@@ -63,6 +64,7 @@
 	sink         *decision.Sink
 	timer        lovageyard.Timer
 	meters       *meter.Set
+	process      *utilisation.Process
 	shares       *entry.Shares
 	store        *platform.Store
 	peers        *peer.Client
@@ -139,7 +141,7 @@
 	// Hooks run in this order: the instance's name must be added before the sink formats the line.
 	logger.AddHook(instanceHook{instance: o.Instance})
 	sink.Attach(logger)
-	e := &edge{options: o, logger: logger, sink: sink, timer: clock, meters: meter.NewSet()}
+	e := &edge{options: o, logger: logger, sink: sink, timer: clock, meters: meter.NewSet(), process: &utilisation.Process{}}
 	e.assemble(self)
 	e.control.Start()
 	e.limiter.Start()
@@ -185,18 +187,19 @@
 	e.detours = detour.NewServer(e.sender, e.dispatch)
 	e.quarantine = quarantine.NewMonitor(quarantine.Settings{Prober: e.sender, Timer: e.timer, Logger: e.logger, Metrics: e.meters})
 	e.control = fleet.New(fleet.Settings{
-		Self:       self,
-		Feed:       e.store,
-		Registrar:  e.store,
-		Decoder:    platform.Decoder{Regions: o.Regions},
-		Peers:      e.peers,
-		Observer:   e.dispatch,
-		Quarantine: e.quarantine,
-		Timer:      e.timer,
-		Logger:     e.logger,
-		Metrics:    e.meters,
-		Seeds:      o.PeerAddresses,
-		Seed:       uint64(self.Incarnation),
+		Self:        self,
+		Feed:        e.store,
+		Registrar:   e.store,
+		Decoder:     platform.Decoder{Regions: o.Regions},
+		Peers:       e.peers,
+		Observer:    e.dispatch,
+		Quarantine:  e.quarantine,
+		Timer:       e.timer,
+		Logger:      e.logger,
+		Metrics:     e.meters,
+		Utilisation: utilisation.NewMeter(e.process, utilisation.Capacity{Cores: o.CPUQuota, LinkMbps: o.LinkMbps}),
+		Seeds:       o.PeerAddresses,
+		Seed:        uint64(self.Incarnation),
 
 		MaxConfirmationAge: o.RevokeWithin,
 		ChangeWithin:       o.changeWithin(),
@@ -276,13 +279,17 @@
 		Shares:     e.shares,
 		Limits:     o.ageLimits(),
 	}))
-	e.serve(s.callers, e.callerServer)
+	e.serve(e.process.Listen(s.callers), e.callerServer)
 	e.serveOther(s.ready, &entry.Readiness{Source: e.control})
 	e.serveOther(s.lookUps, &entry.Directory{
 		Source:   e.control,
 		KeepFor:  min(o.KeepFor, o.KeepForMax),
 		Selector: lookup.NewSelector(),
-		Timer:    e.timer,
+
+		Utilisation: e.control,
+		Timer:       e.timer,
+		Logger:      e.logger,
+		Metrics:     e.meters,
 	})
 	e.serveOther(s.peers, e.peerServices())
 	if s.metrics != nil {
--- a/lovageyardd/edge_options.go
+++ b/lovageyardd/edge_options.go
@@ -43,7 +43,8 @@
 	QuotaWindow     time.Duration     `default:"5s" help:"Window that the requests of a client account are counted in, over all instances."`
 	QuotaExcess     float64           `default:"0.1" help:"Part of an account's limit by which its requests in one window may exceed it."`
 	QuotaSlack      float64           `default:"20" help:"Requests in one window beyond that."`
-	LinkMbps        float64           `default:"0" help:"What this instance's link carries, in Mbit/s; relays are chosen by it. 0 means that it is not known."`
+	LinkMbps        float64           `default:"0" help:"What this instance's link carries, in Mbit/s; relays are chosen by it, and the instances that look-ups return if there are routes with large bodies. 0 means that it is not known."`
+	CPUQuota        float64           `name:"cpu-quota" default:"0" help:"Processor quota of the process in cores; its utilisation is measured by it. 0 means that it is not known."`
 	MemoryMB        int               `name:"memory-mb" default:"0" help:"Memory limit of the process in MB; 0 means none."`
 	LogLevel        string            `default:"info" help:"Lines to log: error, warning, info or debug."`
 	LogFormat       string            `default:"json" enum:"json,text" help:"Format of log lines: json or text."`
@@ -105,6 +106,8 @@
 		return errors.New("--quota-excess and --quota-slack: must not be negative")
 	case o.LinkMbps < 0:
 		return errors.New("--link-mbps: must not be negative")
+	case o.CPUQuota < 0:
+		return errors.New("--cpu-quota: must not be negative")
 	case o.MemoryMB < 0:
 		return errors.New("--memory-mb: must not be negative")
 	}
--- a/lovageyardd/edge_test.go
+++ b/lovageyardd/edge_test.go
@@ -87,10 +87,20 @@
 	c.Assert(bounds.Shift, qt.Equals, dispatch.ShiftBound{MaxChange: 0.25, Window: 2 * time.Second})
 }
 
+// A platform that states no processor quota must not make the settings invalid.
+func TestProcessorQuotaIsOptional(t *testing.T) {
+	c := qt.New(t)
+	for want, values := range map[float64]map[string]string{0: nil, 0.16: {"Limits.CpuQuota": "0.16"}} {
+		o, err := parseEdgeOptions(c, renderWith(c, values))
+		c.Assert(err, qt.IsNil)
+		c.Assert(o.CPUQuota, qt.Equals, want)
+	}
+}
+
 func TestInvalidSettingsNameTheField(t *testing.T) {
 	for name, value := range map[string]string{
 		"instance": "", "caller-address": "nowhere", "peer-addresses": "10.0.0.1", "keep-for-max": "0s",
-		"leave-within": "soon", "retry-ratio": "-1", "retry-window": "10ms", "cold-slack": "-1", "memory-mb": "-1", "largest-shift": "0",
+		"leave-within": "soon", "retry-ratio": "-1", "retry-window": "10ms", "cold-slack": "-1", "memory-mb": "-1", "cpu-quota": "-1", "largest-shift": "0",
 		"link-mbps": "-1", "revoke-within": "-1s", "apply-within": "soon", "drain-within": "-1s", "quota-window": "10ms", "quota-excess": "-1", "quota-slack": "-1",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -61,6 +61,9 @@
 	LimitReports         = Metric{"limit-reports", Counter, []string{"outcome"}, "reports on accounts' limits to the instances that own them, by outcome: ok or failed"}
 	AccountsNearLimit    = Metric{"limits-tight", Gauge, nil, "client accounts that are near their limits, by the word of the instances that own their limits"}
 	InstancesLive        = Metric{"instances-live", Gauge, nil, "entry instances that are believed to take work"}
+	Utilisation          = Metric{"utilisation", Gauge, nil, "thousandths of the processor quota or of the link's bandwidth that this instance uses, whichever is more, averaged over 3 s; -1 if neither is known"}
+	LookUps              = Metric{"look-ups", Counter, []string{"selection"}, "look-ups that were answered with all candidates (all), or with the region's high-bandwidth instances (high-bandwidth)"}
+	RegionUtilisation    = Metric{"region-utilisation", Gauge, []string{"region"}, "thousandths of their capacity that a region's high-bandwidth instances use on average, by which low-bandwidth ones are left out of look-ups"}
 	ChangeAge            = Metric{"change-age", Histogram, []string{"table"}, "milliseconds from the moment when the first instance heard of a change from the platform to its being in force here"}
 	PlatformReads        = Metric{"platform-reads", Counter, []string{"table"}, "calls that read the platform"}
 	PlatformFailures     = Metric{"platform-failures", Counter, []string{"table", "cause"}, "calls that failed, by timeout or for other reasons, lost history left out"}
@@ -83,7 +86,7 @@
 	return []Metric{
 		Answers, Refusals, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, InFlight,
 		ServersKnown, ServersSuspect, ServersLimited, ServersLeaving, ServersBackingOff, ServersCrashed, RequestsQuarantined, ConnectionsOpened, PathLost, Detours, ConfigurationVersion, ConfigurationAge, ConfirmationAge, ContactAge,
-		LimitReports, AccountsNearLimit, InstancesLive,
+		LimitReports, AccountsNearLimit, InstancesLive, Utilisation, LookUps, RegionUtilisation,
 		ChangeAge, PlatformReads, PlatformFailures, HistoryLost, OutdatedReads, PlatformRestores, RowsSkipped, PlatformWrites, PeerExchanges, PeerFailures,
 		PeerRows, PeerRowsKnown, PeerBytes,
 		LogDroppedRoutine, LogDroppedOther,
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -1,6 +1,10 @@
 package peer
 
 import (
+	"math"
+
+	"google.golang.org/protobuf/proto"
+
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/instance"
 	"lovageyard.example/lovageyard/move"
@@ -24,6 +28,7 @@
 		Behind:          m.Stale,
 	}
 	w.Steps = FromSteps(m.Steps)
+	w.Utilisation = FromUtilisation(m)
 	return w
 }
 
@@ -60,9 +65,30 @@
 		LinkMbps:        w.GetLinkMbps(),
 		Stale:           w.GetBehind(),
 	}
+	SetUtilisation(&m, w.Utilisation)
 	return m
 }
 
+// maxUtilisation limits the utilisation in messages, in thousandths. A process may use more than its quota for a
+// moment, so that it can be above 1000.
+const maxUtilisation = 10_000
+
+// FromUtilisation returns the wire form of a member's utilisation, or nil if it is not known.
+func FromUtilisation(m instance.Member) *uint32 {
+	if !m.UtilisationKnown {
+		return nil
+	}
+	return proto.Uint32(uint32(min(maxUtilisation, max(0, math.Round(1000*m.Utilisation)))))
+}
+
+// SetUtilisation sets a member's utilisation from its wire form. Nil leaves it as it is: the sender may be of a version
+// that does not know it.
+func SetUtilisation(m *instance.Member, w *uint32) {
+	if w != nil {
+		m.Utilisation, m.UtilisationKnown = float64(min(maxUtilisation, *w))/1000, true
+	}
+}
+
 // FromPlacement returns the wire form of the placement that an instance applies for a class.
 func FromPlacement(class string, placement move.Placement) *wire.Applied {
 	w := &wire.Applied{Class: class, Step: placement.Step}
