--- a/integration/edge_test.go
+++ b/integration/edge_test.go
@@ -61,9 +61,10 @@
 	leaveWithin time.Duration
 	// extraArgs are additional arguments of the program.
 	extraArgs []string
-	// address is the address for callers' requests, and ready that of the readiness check.
+	// address is the address for callers' requests, ready that of the readiness check, and lookUps that of look-ups.
 	address string
 	ready   string
+	lookUps string
 }
 
 func newEdge(t *testing.T) *edge {
@@ -162,10 +163,11 @@
 			Message string `json:"msg"`
 			Address string `json:"caller-address"`
 			Ready   string `json:"ready-address"`
+			LookUps string `json:"look-up-address"`
 		}
 		e.c.Assert(json.Unmarshal(line, &started), qt.IsNil)
 		if started.Message == "started" {
-			e.address, e.ready = started.Address, started.Ready
+			e.address, e.ready, e.lookUps = started.Address, started.Ready, started.LookUps
 		}
 	}
 	e.until("readiness", func() bool {
