pipeline: run pipelined requests of callers ahead

net/http handles a connection's requests one after the other, so that a pipelined request waits for the work of those before it. The package pipeline wraps the callers' listener and handler: further GET and HEAD requests without a body reach the handler as they arrive, and their responses are written when net/http reaches them.

--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -27,6 +27,7 @@
 	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/peer"
 	"lovageyard.example/lovageyard/peer/wire"
+	"lovageyard.example/lovageyard/pipeline"
 	"lovageyard.example/lovageyard/platform"
 	"lovageyard.example/lovageyard/quarantine"
 	"lovageyard.example/lovageyard/quota"
@@ -72,6 +73,7 @@
 	detours      *detour.Server
 	control      *fleet.Control
 	limiter      *quota.Limiter
+	pipeline     *pipeline.Pipeline
 	callerServer *http.Server
 	otherServers []*http.Server
 	// version is the configuration's version at the last update of the gauges, and versionSince
@@ -262,7 +264,7 @@
 // serveAll starts to serve on all sockets.
 func (e *edge) serveAll(s *edgeSockets) {
 	o := e.options
-	e.callerServer = newEdgeServer(entry.NewHandler(entry.Settings{
+	handler := entry.NewHandler(entry.Settings{
 		Source:     e.control,
 		Codec:      platform.Headers{},
 		Sender:     e.sender,
@@ -274,8 +276,11 @@
 		Metrics:    e.meters,
 		Shares:     e.shares,
 		Limits:     o.ageLimits(),
-	}))
-	e.serve(s.callers, e.callerServer)
+	})
+	e.pipeline = pipeline.New(pipeline.Settings{Handler: handler, Logger: e.logger, Metrics: e.meters})
+	e.callerServer = newEdgeServer(handler)
+	e.pipeline.Attach(e.callerServer)
+	e.serve(e.pipeline.Listener(s.callers), e.callerServer)
 	e.serveOther(s.ready, &entry.Readiness{Source: e.control})
 	e.serveOther(s.lookUps, &entry.Directory{Source: e.control, KeepFor: min(o.KeepFor, o.KeepForMax)})
 	e.serveOther(s.peers, e.peerServices())
@@ -384,6 +389,7 @@
 		e.logger.WithError(err).Warn("closing connections with requests still in flight")
 		e.callerServer.Close()
 	}
+	e.pipeline.Close(shutdownCtx)
 	e.detours.Close(shutdownCtx)
 	e.limiter.Close()
 	e.control.Close()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -33,6 +33,7 @@
 var (
 	Answers              = Metric{"answers", Counter, []string{"service", "status"}, "answers to callers; the service is none if no route matched"}
 	Refusals             = Metric{"refusals", Counter, []string{"service", "cause"}, "requests refused as not run"}
+	RequestsAhead        = Metric{"requests-ahead", Counter, nil, "pipelined requests passed on before those ahead of them on their connection were answered"}
 	Latency              = Metric{"latency", Histogram, []string{"service"}, "milliseconds from a request's arrival to a server's answer"}
 	ExpectedWait         = Metric{"expected-wait", Histogram, []string{"service"}, "milliseconds that a request was expected to wait for a slot as it was sent"}
 	Sends                = Metric{"sends", Counter, []string{"service", "failure-domain"}, "attempts sent to servers"}
@@ -81,7 +82,7 @@
 // All returns all metrics in the order of the reference page.
 func All() []Metric {
 	return []Metric{
-		Answers, Refusals, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, InFlight,
+		Answers, Refusals, RequestsAhead, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, InFlight,
 		ServersKnown, ServersSuspect, ServersLimited, ServersLeaving, ServersBackingOff, ServersCrashed, RequestsQuarantined, ConnectionsOpened, PathLost, Detours, ConfigurationVersion, ConfigurationAge, ConfirmationAge, ContactAge,
 		LimitReports, AccountsNearLimit, InstancesLive,
 		ChangeAge, PlatformReads, PlatformFailures, HistoryLost, OutdatedReads, PlatformRestores, RowsSkipped, PlatformWrites, PeerExchanges, PeerFailures,
--- /dev/null
+++ b/pipeline/parse.go
@@ -0,0 +1,174 @@
+package pipeline
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"strings"
+)
+
+// headScanner finds the end of a request's head: the first empty line after the request line. Lines end with LF,
+// or with CR and LF, as net/http accepts them. Empty lines before the request line belong to the head.
+type headScanner struct {
+	// begun is set after the first byte of the request line.
+	begun bool
+	// lineBytes is the number of bytes of the current line so far, and lastCR whether it consists of one CR.
+	lineBytes int
+	lastCR    bool
+}
+
+// scan returns the number of bytes of p that belong to the head, and whether it is complete.
+func (s *headScanner) scan(p []byte) (end int, complete bool) {
+	for end < len(p) {
+		i := bytes.IndexByte(p[end:], '\n')
+		line := p[end:]
+		if i >= 0 {
+			line = p[end : end+i]
+		}
+		if len(line) > 0 {
+			s.lastCR = s.lineBytes == 0 && len(line) == 1 && line[0] == '\r'
+			s.lineBytes += len(line)
+		}
+		empty := s.lineBytes == 0 || s.lastCR
+		if i < 0 {
+			return len(p), false
+		}
+		end += i + 1
+		if empty && s.begun {
+			return end, true
+		}
+		s.begun = s.begun || !empty
+		s.lineBytes, s.lastCR = 0, false
+	}
+	return end, false
+}
+
+// chunkScanner finds the end of a chunked body without chunk extensions and trailers.
+type chunkScanner struct {
+	state chunkState
+	// size is the number of bytes left of the chunk, and digits the number of digits read of its size.
+	size   int64
+	digits int
+	last   bool
+}
+
+type chunkState int
+
+const (
+	chunkSize chunkState = iota
+	chunkSizeLF
+	chunkData
+	chunkDataCR
+	chunkDataLF
+)
+
+// maxSizeDigits prevents an overflow of the chunk size.
+const maxSizeDigits = 15
+
+// scan returns the number of bytes of p that belong to the body and whether it is complete. It is not valid
+// if it has extensions or trailers, or if it is malformed.
+func (s *chunkScanner) scan(p []byte) (end int, complete, valid bool) {
+	for end < len(p) {
+		b := p[end]
+		switch s.state {
+		case chunkSize:
+			digit := strings.IndexByte("0123456789abcdef", b|0x20)
+			switch {
+			case b == '\r' && s.digits > 0:
+				s.state = chunkSizeLF
+			case digit >= 0 && b >= '0' && s.digits < maxSizeDigits:
+				s.size = s.size<<4 | int64(digit)
+				s.digits++
+			default:
+				return end, false, false
+			}
+			end++
+		case chunkSizeLF, chunkDataLF:
+			if b != '\n' {
+				return end, false, false
+			}
+			end++
+			if s.state == chunkDataLF {
+				if s.last {
+					return end, true, true
+				}
+				s.state, s.digits = chunkSize, 0
+				continue
+			}
+			s.last = s.size == 0
+			s.state = chunkData
+			if s.last {
+				s.state = chunkDataCR
+			}
+		case chunkData:
+			n := min(s.size, int64(len(p)-end))
+			s.size -= n
+			end += int(n)
+			if s.size == 0 {
+				s.state = chunkDataCR
+			}
+		case chunkDataCR:
+			if b != '\r' {
+				return end, false, false
+			}
+			s.state = chunkDataLF
+			end++
+		}
+	}
+	return end, false, true
+}
+
+// parse returns the request of a complete head, or nil if it must be left to net/http: if it may have a body,
+// asks for another protocol, or is one that net/http may reject.
+func parse(head []byte) *http.Request {
+	unread := bytes.NewReader(head)
+	reader := bufio.NewReader(unread)
+	r, err := http.ReadRequest(reader)
+	if err != nil || reader.Buffered() > 0 || unread.Len() > 0 {
+		return nil
+	}
+	if (r.Method != http.MethodGet && r.Method != http.MethodHead) || !mayBePipelined(r) ||
+		r.ContentLength != 0 || len(r.TransferEncoding) > 0 || r.Header["Expect"] != nil ||
+		r.URL.Host != "" || !isPlainHost(r.Host) {
+		return nil
+	}
+	for name, values := range r.Header {
+		if !isToken(name) {
+			return nil
+		}
+		for _, value := range values {
+			if strings.ContainsFunc(value, isControl) {
+				return nil
+			}
+		}
+	}
+	return r
+}
+
+// mayBePipelined reports whether requests may follow r before it is answered. Behind the others the
+// connection closes, or continues with another protocol.
+func mayBePipelined(r *http.Request) bool {
+	return r.ProtoMajor == 1 && r.ProtoMinor == 1 && r.Method != http.MethodConnect && r.Header["Upgrade"] == nil
+}
+
+// isPlainHost reports whether a Host header is certain to be accepted by net/http.
+func isPlainHost(host string) bool {
+	return host != "" && !strings.ContainsFunc(host, func(r rune) bool {
+		return !isAlphanumeric(r) && !strings.ContainsRune("-._:[]", r)
+	})
+}
+
+// isToken reports whether a header name is certain to be accepted by net/http.
+func isToken(name string) bool {
+	return name != "" && !strings.ContainsFunc(name, func(r rune) bool {
+		return !isAlphanumeric(r) && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+	})
+}
+
+func isAlphanumeric(r rune) bool {
+	return 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9'
+}
+
+func isControl(r rune) bool {
+	return r < ' ' && r != '\t' || r == 0x7f
+}
--- /dev/null
+++ b/pipeline/pipeline.go
@@ -0,0 +1,116 @@
+package pipeline
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"lovageyard.example/lovageyard/meter"
+)
+
+// Limits of the look-ahead on one connection.
+const (
+	// maxAhead is the number of requests that are run ahead.
+	maxAhead = 8
+	// maxBufferedBytes limits the response bodies of requests run ahead. Handlers that write more wait
+	// until the server reaches their request.
+	maxBufferedBytes = 1 << 20
+	// maxHeldBytes limits the bytes read from the connection that the server has not asked for.
+	maxHeldBytes = 16 << 10
+	// firstHeldBytes is the initial capacity of the buffer for them, the size of the server's own buffer.
+	firstHeldBytes = 4 << 10
+)
+
+// Settings are the dependencies of a Pipeline; all are required.
+type Settings struct {
+	Handler http.Handler
+	Logger  *logrus.Logger
+	Metrics *meter.Set
+}
+
+// Pipeline runs pipelined requests of an http.Server ahead.
+type Pipeline struct {
+	Settings
+	// maxHeadBytes is the size up to which net/http accepts the head of a request.
+	maxHeadBytes int
+	// stopping is set when the server shuts down; no further requests are run ahead.
+	stopping atomic.Bool
+	// running counts the handlers of requests run ahead.
+	running sync.WaitGroup
+}
+
+// New returns a Pipeline for one server.
+func New(s Settings) *Pipeline {
+	return &Pipeline{Settings: s}
+}
+
+// connKey is the context key of the wrapped connection.
+type connKey struct{}
+
+// Attach sets the server's handler and connection context. The server has to be served on a listener
+// returned by Listener.
+func (p *Pipeline) Attach(s *http.Server) {
+	p.maxHeadBytes = s.MaxHeaderBytes
+	if p.maxHeadBytes <= 0 {
+		p.maxHeadBytes = http.DefaultMaxHeaderBytes
+	}
+	s.Handler = p
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	s.RegisterOnShutdown(func() { p.stopping.Store(true) })
+}
+
+// Listener returns a listener whose connections can be read ahead.
+func (p *Pipeline) Listener(l net.Listener) net.Listener {
+	return &listener{Listener: l, pipeline: p}
+}
+
+// Close waits for the handlers of requests run ahead, or until ctx ends. The server has to be closed before.
+func (p *Pipeline) Close(ctx context.Context) {
+	p.stopping.Store(true)
+	ended := make(chan struct{})
+	go func() {
+		p.running.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// ServeHTTP passes a request to the handler, or writes the response if the request was run ahead.
+func (p *Pipeline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		p.Handler.ServeHTTP(w, r)
+		return
+	}
+	ahead := c.begin(r)
+	defer func() { c.end(closesConnection(w.Header())) }()
+	if ahead == nil {
+		p.Handler.ServeHTTP(w, r)
+		return
+	}
+	ahead.deliver(w, r)
+}
+
+// listener wraps accepted connections.
+type listener struct {
+	net.Listener
+	pipeline *Pipeline
+}
+
+// Accept returns the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: accepted, pipeline: l.pipeline}, nil
+}
