--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -280,15 +280,17 @@
 	return first
 }
 
-// end records that the handler has returned, and whether its response closes the connection.
-func (c *conn) end(closes bool) {
+// end records that the handler has returned. If its response closes the connection, the requests that are run
+// ahead are cancelled.
+func (c *conn) end(w http.ResponseWriter) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.current = nil
 	if c.phase == phaseServing {
 		c.phase = phaseHead
 	}
-	if closes {
+	// net/http copies the header if it is accessed after it is written.
+	if len(c.queue) > 0 && closesConnection(w.Header()) {
 		c.blocked = true
 		c.cancelFrom(0)
 	}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -92,7 +92,7 @@
 		return
 	}
 	ahead := c.begin(r)
-	defer func() { c.end(closesConnection(w.Header())) }()
+	defer c.end(w)
 	if ahead == nil {
 		p.Handler.ServeHTTP(w, r)
 		return
