pipeline: requests behind unsafe methods wait for their answers

RFC 9112 (9.3.2) permits parallel processing only among safe methods: a GET that follows a POST may be meant to see its effect. Look-ahead is now possible only behind GET and HEAD. A failed write cancels the requests that run ahead at once, not only when the connection is closed.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -203,7 +203,13 @@
 		c.passThrough = true
 	}
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		c.disconnect(err)
+		c.mu.Unlock()
+	}
+	return n, err
 }
 
 // ReadFrom lets net/http copy without a buffer in user space, as on the connection itself.
@@ -274,7 +280,7 @@
 		c.queue = slices.Delete(c.queue, 0, 1)
 	} else {
 		c.parsed = 0
-		c.blocked = r.Close || !mayBePipelined(r)
+		c.blocked = r.Close || !allowsAhead(r)
 	}
 	c.lookAhead()
 	return first
--- a/pipeline/parse.go
+++ b/pipeline/parse.go
@@ -127,8 +127,7 @@
 	if err != nil || reader.Buffered() > 0 || unread.Len() > 0 {
 		return nil
 	}
-	if (r.Method != http.MethodGet && r.Method != http.MethodHead) || !mayBePipelined(r) ||
-		r.ContentLength != 0 || len(r.TransferEncoding) > 0 || r.Header["Expect"] != nil ||
+	if !allowsAhead(r) || r.ContentLength != 0 || len(r.TransferEncoding) > 0 || r.Header["Expect"] != nil ||
 		r.URL.Host != "" || !isPlainHost(r.Host) {
 		return nil
 	}
@@ -145,10 +144,11 @@
 	return r
 }
 
-// mayBePipelined reports whether requests may follow r before it is answered. Behind the others the
-// connection closes, or continues with another protocol.
-func mayBePipelined(r *http.Request) bool {
-	return r.ProtoMajor == 1 && r.ProtoMinor == 1 && r.Method != http.MethodConnect && r.Header["Upgrade"] == nil
+// allowsAhead reports whether requests behind r may run before it is answered. RFC 9112, section 9.3.2,
+// permits that only among safe methods. Behind other protocols and versions, further bytes may not be requests.
+func allowsAhead(r *http.Request) bool {
+	return (r.Method == http.MethodGet || r.Method == http.MethodHead) &&
+		r.ProtoMajor == 1 && r.ProtoMinor == 1 && r.Header["Upgrade"] == nil
 }
 
 // isPlainHost reports whether a Host header is certain to be accepted by net/http.
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -210,29 +210,33 @@
 	}
 }
 
-// Guards against requests run ahead of a body, and against requests behind it that are lost.
-func TestRequestsWithBodiesWaitForTheirTurn(t *testing.T) {
+// Guards against requests that run beside one with another method, and against requests behind a body that
+// are lost.
+func TestRequestsBehindOtherMethodsWaitForTheirTurn(t *testing.T) {
 	c := qt.New(t)
-	g := newGate("/1", "/2", "/post", "/3", "/chunked", "/4")
+	g := newGate("/1", "/2", "/post", "/3", "/chunked", "/4", "/5")
 	cl := startServer(c, false, g, nil).dial(c)
 	cl.send(gets("/1", "/2") + "POST /post HTTP/1.1\r\nHost: shop\r\nContent-Length: 5\r\n\r\nab")
 	await(c, g.started, 2)
-	cl.send("cde" + get("/3") + "POST /chunked HTTP/1.1\r\nHost: shop\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nfgh\r\n0\r\n\r\n" + get("/4"))
-	close(g.release["/1"])
-	cl.expect("/1true")
-	c.Assert(len(g.started), qt.Equals, 0)
-	close(g.release["/2"])
-	cl.expect("/2true")
-	c.Assert(await(c, g.started, 2), qt.DeepEquals, map[string]bool{"/post": true, "/3": true})
-	close(g.release["/3"])
-	close(g.release["/post"])
-	cl.expect("/postabcdetrue")
-	cl.expect("/3true")
-	c.Assert(await(c, g.started, 2), qt.DeepEquals, map[string]bool{"/chunked": true, "/4": true})
-	close(g.release["/4"])
-	close(g.release["/chunked"])
-	cl.expect("/chunkedfghtrue")
-	cl.expect("/4true")
+	cl.send("cde" + get("/3") + "POST /chunked HTTP/1.1\r\nHost: shop\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nfgh\r\n0\r\n\r\n" + gets("/4", "/5"))
+	for _, turn := range []struct {
+		path    string
+		started int
+		body    string
+	}{
+		{"/1", 0, "/1true"},
+		{"/2", 0, "/2true"},
+		{"/post", 1, "/postabcdetrue"},
+		{"/3", 1, "/3true"},
+		{"/chunked", 1, "/chunkedfghtrue"},
+		{"/4", 2, "/4true"},
+		{"/5", 0, "/5true"},
+	} {
+		await(c, g.started, turn.started)
+		c.Assert(len(g.started), qt.Equals, 0)
+		close(g.release[turn.path])
+		cl.expect(turn.body)
+	}
 }
 
 // Guards against work that continues for a client that has disconnected.
@@ -425,7 +429,7 @@
 func TestHijackedConnectionDeliversAllBytes(t *testing.T) {
 	c := qt.New(t)
 	const long = 40 << 10
-	s := startServer(c, false, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := startServer(c, false, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		conn, buffered, err := http.NewResponseController(w).Hijack()
 		qt.Check(t, err, qt.IsNil)
 		defer conn.Close()
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -41,7 +41,7 @@
 			p.Logger.WithField("stack", string(debug.Stack())).WithField("panic", r.panicked).
 				Error("the handler of a pipelined request panicked")
 		}
-		if r.panicked != nil || r.writer.closesConnection() || r.request.Close {
+		if r.panicked != nil || r.writer.closesConnection() {
 			r.conn.endAhead(r)
 		}
 	}()
