entry: request bodies are admitted by the bytes that they hold

An instance with little memory read every body into memory, however many others were in flight; a process beyond its memory limit is ended. A body of known length also took three times its length, as bytes.Buffer grows once more to find the end.

Package footprint decides by a budget, of which a fifth is for requests of at most 16 KB. The length of a body is taken before it is read, that of a chunked one in steps. A refused upload is answered first; up to 1 MB or 1 s of its body is read afterwards, so that the unread rest does not reset the connection. A body that is sent below a minimum rate for 5 s is refused with 408. Without a budget and a rate nothing changes.

Tested: random plays of the decision; uploads, chunked uploads, slow senders, disconnects and panics over loopback connections, with -race.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -85,8 +85,11 @@
 func (x *exchange) refuse(cause, reason string, retryAfter time.Duration, a *attempt) {
 	x.cause = cause
 	status := http.StatusServiceUnavailable
-	if cause == causeLimit {
+	switch cause {
+	case causeLimit:
 		status = http.StatusTooManyRequests
+	case causeSlowBody:
+		status = http.StatusRequestTimeout
 	}
 	x.log(logrus.InfoLevel, "refused", status, reason, a)
 	x.handler.Metrics.Count(meter.Refusals, x.label(), cause)
--- /dev/null
+++ b/entry/body_test.go
@@ -0,0 +1,201 @@
+package entry_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/footprint"
+	"lovageyard.example/lovageyard/link"
+	"lovageyard.example/lovageyard/platform"
+	"lovageyard.example/lovageyard/platform/fake"
+	"lovageyard.example/lovageyard/timer"
+)
+
+// instance is an entry instance that serves real connections, in front of one backend server.
+type instance struct {
+	*harness
+	address string
+}
+
+// newInstance returns an instance with a memory budget and a minimum body rate.
+func newInstance(t *testing.T, budget, minBodyRate int64, backend http.HandlerFunc) *instance {
+	h := newHarnessOf(t, 1)
+	server := httptest.NewServer(backend)
+	h.c.Cleanup(server.Close)
+	h.address = server.Listener.Addr().String()
+	h.route.Idempotent = false
+	h.setRoute(h.route)
+	h.view.Configuration.MaxBodyBytes = 0
+	transport := link.New(platform.Headers{}, timer.Clock{}, nil)
+	h.c.Cleanup(transport.Close)
+	h.path = transport
+	h.minBodyRate = minBodyRate
+	if budget > 0 {
+		h.memory = footprint.NewPool(budget)
+	}
+	front := httptest.NewServer(h.handler())
+	h.c.Cleanup(front.Close)
+	return &instance{harness: h, address: front.Listener.Addr().String()}
+}
+
+// answerWith returns a backend server that reads requests and answers with a body.
+func answerWith(body []byte) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		fake.Seal(w.Header(), r.Header)
+		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		_, _ = w.Write(body)
+	}
+}
+
+// dial opens a connection to the instance.
+func (i *instance) dial() net.Conn {
+	conn, err := net.Dial("tcp", i.address)
+	i.c.Assert(err, qt.IsNil)
+	i.c.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// begin sends the header of a request, with a body that is to follow.
+func (i *instance) begin(length int) net.Conn {
+	conn := i.dial()
+	fmt.Fprintf(conn, "POST /x/ HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: id-1\r\nContent-Length: %d\r\n\r\n", length)
+	return conn
+}
+
+// post sends a request on a new connection, and reads the response after the whole body is sent.
+func (i *instance) post(length int) *http.Response {
+	conn := i.begin(length)
+	_, err := conn.Write(make([]byte, length))
+	i.c.Assert(err, qt.IsNil)
+	return i.read(conn)
+}
+
+// read reads a response with its body.
+func (i *instance) read(conn net.Conn) *http.Response {
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	i.c.Assert(err, qt.IsNil)
+	body, err := io.ReadAll(response.Body)
+	i.c.Assert(err, qt.IsNil)
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	return response
+}
+
+// await waits until a condition on the memory budget holds.
+func (i *instance) await(condition func(footprint.Stats) bool) {
+	for !condition(i.memory.Stats()) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func isUnused(s footprint.Stats) bool { return s.Used == 0 }
+
+// An upload for which there is no memory must be refused before it is read. Its client sends the whole body before
+// it reads the response, and must find that instead of a reset connection. Small requests must be served meanwhile.
+func TestUploadBeyondBudgetIsRefused(t *testing.T) {
+	i := newInstance(t, 1<<20, 0, answerWith([]byte("done")))
+	slow := i.begin(700 << 10)
+	i.await(func(s footprint.Stats) bool { return s.Large == 700<<10 })
+	for range 3 {
+		refused := i.post(360 << 10)
+		i.c.Assert(refused.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		i.c.Assert(refused.Header.Get(lovageyard.VerdictHeader), qt.Equals, string(lovageyard.VerdictNotRun))
+		i.c.Assert(refused.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		i.c.Assert(refused.Close, qt.IsTrue)
+		i.c.Assert(i.post(16<<10).StatusCode, qt.Equals, http.StatusOK)
+	}
+	i.c.Assert(i.log.String(), qt.Contains, `"cause":"memory"`)
+	slow.Close()
+	i.await(isUnused)
+	i.c.Assert(i.post(360<<10).StatusCode, qt.Equals, http.StatusOK)
+	i.await(isUnused)
+}
+
+// The body of a refused upload must not be read without bound, neither in bytes nor in time.
+func TestUnreadBodyIsReadWithinBounds(t *testing.T) {
+	i := newInstance(t, 1<<20, 0, answerWith([]byte("done")))
+	endless := i.begin(8 << 20)
+	i.c.Assert(i.read(endless).StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	_, err := io.Copy(endless, neverEnding{})
+	i.c.Assert(err, qt.IsNotNil)
+	silent := i.begin(8 << 20)
+	i.c.Assert(i.read(silent).StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	_, err = silent.Read(make([]byte, 1))
+	i.c.Assert(err, qt.IsNotNil)
+}
+
+// neverEnding is a reader without an end.
+type neverEnding struct{}
+
+func (neverEnding) Read(p []byte) (int, error) { return len(p), nil }
+
+// The length of a chunked body is not known in advance: memory must be taken as it is read.
+func TestChunkedUploadTakesWhatItHasRead(t *testing.T) {
+	i := newInstance(t, 1<<20, 0, answerWith([]byte("done")))
+	post := func(length int64) int {
+		request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+i.address+"/x/", io.LimitReader(neverEnding{}, length))
+		i.c.Assert(err, qt.IsNil)
+		request.Host = "a.example"
+		request.Header.Set("X-Request-Id", "id-1")
+		response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+		i.c.Assert(err, qt.IsNil)
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	i.c.Assert(post(300<<10), qt.Equals, http.StatusOK)
+	i.c.Assert(post(2<<20), qt.Equals, http.StatusServiceUnavailable)
+	i.await(isUnused)
+	held := i.memory.Reserve(790<<10, time.Now())
+	i.c.Assert(post(60<<10), qt.Equals, http.StatusServiceUnavailable)
+	i.c.Assert(post(10<<10), qt.Equals, http.StatusOK)
+	held.Release(time.Now())
+	i.await(isUnused)
+}
+
+// panicking is a sender that panics.
+type panicking struct{ sender }
+
+func (panicking) Send(context.Context, link.Request) (*link.Response, error) {
+	panic(http.ErrAbortHandler)
+}
+
+// Bytes that are not released after a panic are lost until the instance restarts.
+func TestBytesAreReleasedAfterPanic(t *testing.T) {
+	h := newHarness(t)
+	h.memory = footprint.NewPool(1 << 20)
+	h.path = &panicking{}
+	h.c.Assert(func() { h.send(http.MethodPost, "/x/", "body") }, qt.PanicMatches, ".*")
+	h.c.Assert(h.memory.Stats().Used, qt.Equals, int64(0))
+}
+
+// A client that sends hardly anything must not hold memory, while one that is slow but above the minimum rate is
+// served.
+func TestSlowSenderIsEnded(t *testing.T) {
+	t.Parallel()
+	const rate, length = 10_000, 120_000
+	i := newInstance(t, 1<<20, rate, answerWith([]byte("done")))
+	stalled, moving := i.begin(length), i.begin(length)
+	go func() {
+		for range 12 {
+			_, _ = moving.Write(make([]byte, length/12))
+			time.Sleep(500 * time.Millisecond)
+		}
+	}()
+	ended := i.read(stalled)
+	i.c.Assert(ended.StatusCode, qt.Equals, http.StatusRequestTimeout)
+	i.c.Assert(ended.Header.Get(lovageyard.VerdictHeader), qt.Equals, string(lovageyard.VerdictNotRun))
+	i.c.Assert(ended.Close, qt.IsTrue)
+	i.c.Assert(i.read(moving).StatusCode, qt.Equals, http.StatusOK)
+	i.await(isUnused)
+}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -19,6 +19,7 @@
 	"lovageyard.example/lovageyard/catalog"
 	"lovageyard.example/lovageyard/dispatch"
 	"lovageyard.example/lovageyard/entry"
+	"lovageyard.example/lovageyard/footprint"
 	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/platform"
@@ -115,6 +116,9 @@
 	path entry.Sender
 	// live makes the handler use the current view instead of the one at its creation.
 	live bool
+	// memory and minBodyRate are the settings of the same names.
+	memory      *footprint.Pool
+	minBodyRate int64
 }
 
 // scriptedQuota is a Quota that refuses requests of accounts if refuses is set, and counts returned admissions.
@@ -210,6 +214,7 @@
 	return entry.NewHandler(entry.Settings{
 		Source: h.source(), Limits: h.limits, Codec: platform.Headers{}, Sender: path, Dispatch: table, Quarantine: h.quarantine(logger), Quota: &h.quota,
 		Timer: timer.Clock{}, Logger: logger, Metrics: meter.NewSet(), Shares: &entry.Shares{},
+		Memory: h.memory, MinBodyRate: h.minBodyRate,
 	})
 }
 
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -31,6 +31,8 @@
 	// server. A harmless request is rarely in flight at two crashes; one that crashes servers would crash the
 	// next one as well, and fail every request in flight there.
 	maxBrokenConnections = 2
+	// retryDivisor is the divisor of the time left until the client's deadline, which limits the retry time.
+	retryDivisor = 3
 	// statusClientGone is logged for a request whose client disconnected.
 	statusClientGone = 499
 )
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -1,29 +1,23 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
 	"lovageyard.example/lovageyard/dispatch"
 	"lovageyard.example/lovageyard/link"
+	"lovageyard.example/lovageyard/footprint"
 	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/quarantine"
 	"lovageyard.example/lovageyard/quota"
 )
 
-// maxBody is the maximum size of request bodies; the configuration may set a lower one. Bodies are read
-// completely before the request is sent, so that a slow client does not occupy a slot of a server.
-const maxBody = 8 << 20
-
 // Source provides the current view of instances, servers and configuration.
 type Source interface {
 	View() *catalog.View
@@ -62,7 +56,7 @@
 	Return(a *lovageyard.Account)
 }
 
-// Settings are the dependencies of a Handler; all but Limits are required.
+// Settings are the dependencies of a Handler; all but Memory, MinBodyRate and Limits are required.
 type Settings struct {
 	Source     Source
 	Codec      Codec
@@ -74,7 +68,11 @@
 	Logger     *logrus.Logger
 	Metrics    *meter.Set
 	Shares     *Shares
-	Limits     AgeLimits
+	// Memory bounds the bytes that are held for requests and responses; nil means that nothing does.
+	Memory *footprint.Pool
+	// MinBodyRate is the rate in bytes per second below which the transfer of a body is ended; 0 means none.
+	MinBodyRate int64
+	Limits      AgeLimits
 }
 
 // Handler forwards callers' requests to backend servers.
@@ -118,6 +116,8 @@
 	regions []string
 	service string
 	body    []byte
+	// memory is the reservation of the bytes that are held for the request, or nil.
+	memory *footprint.Reservation
 	// fingerprint is the hash of the request's content, which is the same for all attempts of the client.
 	fingerprint uint64
 	// deadline is when a server has to be done, and answerDeadline when this instance stops waiting for its answer.
@@ -156,8 +156,9 @@
 	if !x.identify() {
 		return
 	}
-	if status, err := x.readBody(); err != nil {
-		x.reject(status, err.Error())
+	x.setDeadlines()
+	defer func() { x.memory.Release(x.handler.Timer.Now()) }()
+	if !x.readBody() {
 		return
 	}
 	// The key may have been revoked while the body was read.
@@ -170,7 +171,6 @@
 		return
 	}
 	x.fingerprint = x.content().Fingerprint()
-	x.setDeadlines()
 	if x.outlivesInstance() {
 		x.refuse(causeClosing, "this instance ends before the answer is due", immediateRetry, nil)
 		return
@@ -234,27 +234,6 @@
 	return path
 }
 
-func (x *exchange) readBody() (int, error) {
-	if x.request.ContentLength == 0 {
-		return 0, nil
-	}
-	limit := int64(maxBody)
-	if n := x.view.Configuration.MaxBodyBytes; n > 0 {
-		limit = min(limit, n)
-	}
-	var body bytes.Buffer
-	if n := x.request.ContentLength; n > 0 && n <= limit {
-		body.Grow(int(n))
-	}
-	_, err := io.Copy(&body, http.MaxBytesReader(x.writer, x.request.Body, limit))
-	x.body = body.Bytes()
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return http.StatusRequestEntityTooLarge, err
-	}
-	return http.StatusBadRequest, err
-}
-
 // Causes of refusals in metrics and logs, in addition to those of the dispatch table.
 const (
 	causeClosing     = "closing"
@@ -265,4 +244,7 @@
 	causeStale       = "stale"
 	causeLimit       = "limit"
 	causeNoRegion    = "no-region"
+	causeMemory      = "memory"
+	causeServerBytes = "server-bytes"
+	causeSlowBody    = "slow-body"
 )
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -17,6 +17,9 @@
 // response.
 var errClosedBeforeResponse = errors.New("the connection was closed before an answer")
 
+// errTooLong reports a response whose body is longer than maxBodyBytes.
+var errTooLong = errors.New("the answer is too long to be held")
+
 // roundTrip sends the request on a connection and reads the whole response.
 func (t *Transport) roundTrip(ctx context.Context, c *conn, r Request) (*Response, error) {
 	before := c.writes.Load()
@@ -111,7 +114,7 @@
 		if !isOther {
 			t.notifyObserver(r.endpoint(), meta, sentAt)
 		}
-		complete, err := readBody(response, meta)
+		complete, err := readBody(response, meta, r.Reserve)
 		if err != nil {
 			return nil, false, err
 		}
@@ -137,23 +140,24 @@
 }
 
 // readBody reads the rest of a response; an incomplete body is an error.
-func readBody(response *http.Response, meta lovageyard.ResponseMeta) (*Response, error) {
+func readBody(response *http.Response, meta lovageyard.ResponseMeta, reserve Reserve) (*Response, error) {
 	defer response.Body.Close()
-	var body bytes.Buffer
-	if n := response.ContentLength; n > 0 && n <= maxPreallocBytes {
-		body.Grow(int(n))
+	complete := &Response{Status: response.StatusCode, Header: response.Header, Meta: meta}
+	if response.Body == http.NoBody {
+		return complete, nil
+	}
+	if response.ContentLength >= maxBodyBytes {
+		return nil, errTooLong
 	}
-	if n, err := io.Copy(&body, io.LimitReader(response.Body, maxBodyBytes)); err != nil {
+	body, err := ReadBody(io.LimitReader(response.Body, maxBodyBytes), response.ContentLength, reserve)
+	switch {
+	case err != nil:
 		return nil, errors.Wrap(err, "the answer broke off")
-	} else if n == maxBodyBytes {
-		return nil, errors.New("the answer is too long to be held")
+	case len(body) == maxBodyBytes:
+		return nil, errTooLong
 	}
-	return &Response{
-		Status: response.StatusCode,
-		Header: response.Header,
-		Body:   body.Bytes(),
-		Meta:   meta,
-	}, nil
+	complete.Body = body
+	return complete, nil
 }
 
 func newHTTPRequest(r Request) *http.Request {
--- a/link/link.go
+++ b/link/link.go
@@ -69,6 +69,9 @@
 	// MaySend is called after a new connection was opened and reports whether the request may still
 	// be sent; nil means that it may.
 	MaySend func() bool
+	// Reserve is called before the body of a response is read into memory; nil means that nothing limits it.
+	// It may wait until the context of Send is done.
+	Reserve Reserve
 	// Server is the server's name, and Incarnation the start time of its incarnation; see
 	// lovageyard.BackendServer.
 	Server        string
