entry: responses count toward the memory budget

A response was read into memory whatever else was held, and a client that did not read it kept it there for as long as it liked.

The length of a response is reserved before its body is read; if it does not fit, the server's connection is left unread until others have released memory, as the request has run. For a route with large responses their mean length is reserved before the request is sent, and the request refused if there is no room. A response that is read below the minimum rate for 5 s, by the bytes that the client's end acknowledges, is ended with its connection.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -60,8 +60,9 @@
 	if x.request.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
 	}
+	x.releaseBody(a.answer.Body)
 	x.writer.WriteHeader(a.answer.Status)
-	_, err := x.writer.Write(a.answer.Body)
+	err := x.writeBody(a.answer.Body)
 	reason := a.choice.Reason
 	if err != nil {
 		reason = "writing the response failed: " + err.Error()
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -17,6 +17,8 @@
 	err    *lovageyard.RequestError
 	sentAt time.Time
 	took   time.Duration
+	// waitedForMemory means that the answer was not read until other requests had released memory.
+	waitedForMemory bool
 }
 
 // succeeded reports whether the server's answer goes to the client as a success, or as a rejection of the
--- a/entry/body.go
+++ b/entry/body.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
-	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/footprint"
+	"lovageyard.example/lovageyard/link"
 )
 
 const (
--- a/entry/body_test.go
+++ b/entry/body_test.go
@@ -9,12 +9,15 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/entry"
 	"lovageyard.example/lovageyard/footprint"
 	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/platform"
@@ -22,10 +25,39 @@
 	"lovageyard.example/lovageyard/timer"
 )
 
+// kernelBuffer is the size of the kernel's buffers of callers' connections.
+const kernelBuffer = 16 << 10
+
 // instance is an entry instance that serves real connections, in front of one backend server.
 type instance struct {
 	*harness
 	address string
+	written lines
+}
+
+// lines is a log that is read while it is written.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write appends to the log.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// awaitLine waits until the log contains a text.
+func (i *instance) awaitLine(text string) {
+	contains := func() bool {
+		i.written.mu.Lock()
+		defer i.written.mu.Unlock()
+		return strings.Contains(i.written.text.String(), text)
+	}
+	for !contains() {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 // newInstance returns an instance with a memory budget and a minimum body rate.
@@ -35,6 +67,7 @@
 	h.c.Cleanup(server.Close)
 	h.address = server.Listener.Addr().String()
 	h.route.Idempotent = false
+	h.further = map[string]string{"small": "/small/"}
 	h.setRoute(h.route)
 	h.view.Configuration.MaxBodyBytes = 0
 	transport := link.New(platform.Headers{}, timer.Clock{}, nil)
@@ -44,9 +77,18 @@
 	if budget > 0 {
 		h.memory = footprint.NewPool(budget)
 	}
-	front := httptest.NewServer(h.handler())
+	i := &instance{harness: h}
+	h.lines = &i.written
+	front := httptest.NewUnstartedServer(h.handler())
+	front.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		// Kernel buffers would otherwise take most of the responses.
+		h.c.Check(c.(*net.TCPConn).SetWriteBuffer(kernelBuffer), qt.IsNil)
+		return entry.ConnContext(ctx, c)
+	}
+	front.Start()
 	h.c.Cleanup(front.Close)
-	return &instance{harness: h, address: front.Listener.Addr().String()}
+	i.address = front.Listener.Addr().String()
+	return i
 }
 
 // answerWith returns a backend server that reads requests and answers with a body.
@@ -63,6 +105,7 @@
 func (i *instance) dial() net.Conn {
 	conn, err := net.Dial("tcp", i.address)
 	i.c.Assert(err, qt.IsNil)
+	i.c.Assert(conn.(*net.TCPConn).SetReadBuffer(kernelBuffer), qt.IsNil)
 	i.c.Cleanup(func() { conn.Close() })
 	return conn
 }
@@ -115,7 +158,7 @@
 		i.c.Assert(refused.Close, qt.IsTrue)
 		i.c.Assert(i.post(16<<10).StatusCode, qt.Equals, http.StatusOK)
 	}
-	i.c.Assert(i.log.String(), qt.Contains, `"cause":"memory"`)
+	i.awaitLine(`"cause":"memory"`)
 	slow.Close()
 	i.await(isUnused)
 	i.c.Assert(i.post(360<<10).StatusCode, qt.Equals, http.StatusOK)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -99,6 +99,8 @@
 	monitor *quarantine.Monitor
 	sender  *sender
 	log     *strings.Builder
+	// lines replaces log if it is not nil.
+	lines io.Writer
 	// key is the affinity key of requests, or "".
 	key string
 	// age returns the configuration age; nil means 0.
@@ -107,7 +109,9 @@
 	// accounts are the client accounts as the operator writes them, by name; nil means that there are none.
 	accounts map[string]any
 	route    lovageyard.Route
-	quota    scriptedQuota
+	// further are routes beside route that differ only in name and prefix.
+	further map[string]string
+	quota   scriptedQuota
 	// observes passes the backpressure in answers to the dispatch table.
 	observes bool
 	// address is the address of all servers, by default one that refuses connections.
@@ -150,11 +154,11 @@
 	return source{h.view, h.age}
 }
 
-func newHarness(t *testing.T, steps ...step) *harness {
+func newHarness(t testing.TB, steps ...step) *harness {
 	return newHarnessOf(t, 2, steps...)
 }
 
-func newHarnessOf(t *testing.T, servers int, steps ...step) *harness {
+func newHarnessOf(t testing.TB, servers int, steps ...step) *harness {
 	h := &harness{c: qt.New(t), servers: servers, address: "127.0.0.1:9", sender: &sender{steps: steps}, log: &strings.Builder{}}
 	snapshot := catalog.NewState(platform.Decoder{}).Snapshot()
 	h.view = &catalog.View{Snapshot: snapshot, Ready: true}
@@ -167,13 +171,21 @@
 
 func (h *harness) setRoute(r lovageyard.Route) {
 	h.route = r
-	value, err := json.Marshal(map[string]any{
-		"Version": "00000001",
-		"Routes": map[string]any{r.Name: map[string]any{
-			"Host": r.Host, "Prefix": r.Prefix, "Kind": map[bool]string{true: "idempotent", false: "non_idempotent"}[r.Idempotent],
+	routes := make(map[string]any)
+	add := func(name, prefix string) {
+		routes[name] = map[string]any{
+			"Host": r.Host, "Prefix": prefix, "Kind": map[bool]string{true: "idempotent", false: "non_idempotent"}[r.Idempotent],
 			"TimeoutMs": r.Timeout.Milliseconds(), "GoalMs": r.Goal.Milliseconds(), "Attempts": r.Attempts, "Sticky": r.Sticky, "Service": "desk",
 			"HomeRegions": r.HomeRegions, "NoAuth": r.Open,
-		}},
+		}
+	}
+	add(r.Name, r.Prefix)
+	for name, prefix := range h.further {
+		add(name, prefix)
+	}
+	value, err := json.Marshal(map[string]any{
+		"Version":  "00000001",
+		"Routes":   routes,
 		"Tenants":  h.accounts,
 		"Services": map[string]any{"desk": map[string]any{"MaxConns": 9}},
 		"Limits":   map[string]any{"MaxBodyBytes": 100},
@@ -198,6 +210,9 @@
 func (h *harness) handler() http.Handler {
 	logger := logrus.New()
 	logger.SetOutput(h.log)
+	if h.lines != nil {
+		logger.SetOutput(h.lines)
+	}
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	table := dispatch.NewTable(dispatch.Settings{
 		Self: "entry", FailureDomain: "north-1", Region: "north",
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -48,6 +48,10 @@
 		x.refuse(choice.Cause, choice.Reason, choice.RetryAfter, nil)
 		return
 	}
+	if !x.assignTo(choice) {
+		x.refuse(causeServerBytes, "too many bytes are in flight to the server", x.boundRetry(choice.Expected), nil)
+		return
+	}
 	for {
 		a := x.try(ctx, choice)
 		if a.succeeded() || !x.mayRetry(ctx, a) {
@@ -75,9 +79,13 @@
 	if choice.Refused {
 		return false
 	}
+	if !x.assignTo(choice) {
+		return false
+	}
 	if x.spendRetry() {
 		return true
 	}
+	x.memory.Unassign()
 	x.handler.Dispatch.Cancel(choice)
 	return false
 }
@@ -127,9 +135,13 @@
 	x.tried = append(x.tried, choice.Server.Name)
 	x.recordSend(choice)
 	began := x.handler.Timer.Now()
-	answer, err := x.handler.Sender.Send(ctx, x.outgoing(choice, began))
+	a := &attempt{choice: choice, sentAt: began}
+	request := x.outgoing(choice, began)
+	request.Reserve = x.responseReserve(ctx, a)
+	answer, err := x.handler.Sender.Send(ctx, request)
 	now := x.handler.Timer.Now()
-	a := &attempt{choice: choice, answer: answer, sentAt: began, took: now.Sub(began)}
+	x.memory.Unassign()
+	a.answer, a.took = answer, now.Sub(began)
 	if err != nil && !errors.As(err, &a.err) {
 		a.err = lovageyard.MayHaveRun("the backend server did not answer", err)
 	}
@@ -144,6 +156,7 @@
 		x.handler.Sender.Forget(choice.Server.Name)
 	}
 	x.reportToQuarantine(a)
+	x.recordLength(a)
 	return a
 }
 
@@ -208,11 +221,12 @@
 
 // outcome returns what an attempt shows about its server.
 func (x *exchange) outcome(ctx context.Context, a *attempt, now time.Time) dispatch.Outcome {
-	o := dispatch.Outcome{At: now}
+	// How long an attempt takes that waits for this instance's memory says nothing about the server.
+	o := dispatch.Outcome{At: now, Abandoned: a.waitedForMemory}
 	if a.answer == nil {
 		o.Failed = true
 		// A client that disconnected, or a deadline before the answer was due, is not the server's fault.
-		o.Abandoned = a.err.Throttled || a.err.Inconclusive || ctx.Err() != nil && (x.request.Context().Err() != nil || a.took < 2*a.choice.Expected)
+		o.Abandoned = o.Abandoned || a.err.Throttled || a.err.Inconclusive || ctx.Err() != nil && (x.request.Context().Err() != nil || a.took < 2*a.choice.Expected)
 		return o
 	}
 	o.Answered = true
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -11,8 +11,8 @@
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
 	"lovageyard.example/lovageyard/dispatch"
-	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/footprint"
+	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/quarantine"
 	"lovageyard.example/lovageyard/quota"
@@ -78,6 +78,7 @@
 // Handler forwards callers' requests to backend servers.
 type Handler struct {
 	Settings
+	lengths footprint.Lengths
 }
 
 // NewHandler returns a Handler, which is safe for concurrent use.
@@ -179,6 +180,9 @@
 		x.refuse(causeQuarantined, "servers end under this request", d.Until.Sub(x.began), nil)
 		return
 	}
+	if !x.reserveExpected() {
+		return
+	}
 	if d := x.handler.Quota.Admit(x.request.Context(), x.caller.account); d.Verdict != quota.Admitted {
 		x.refuse(causeLimit, "the account is beyond its limit", d.RetryAfter, nil)
 		return
@@ -247,4 +251,6 @@
 	causeMemory      = "memory"
 	causeServerBytes = "server-bytes"
 	causeSlowBody    = "slow-body"
+	// causeSlowReader is the cause of a response that was not written completely.
+	causeSlowReader = "slow-reader"
 )
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/meter"
 )
 
 // paceWindow is how long a body may be transferred at less than the minimum rate.
@@ -78,5 +79,6 @@
 // endSlow ends a request whose body was sent too slowly, and its connection.
 func (x *exchange) endSlow() {
 	x.writer.Header().Set("Connection", "close")
+	x.handler.Metrics.Count(meter.SlowBodies, "sent")
 	x.refuse(causeSlowBody, "the body is sent too slowly", noRetry, nil)
 }
--- a/footprint/pool_test.go
+++ b/footprint/pool_test.go
@@ -119,7 +119,9 @@
 					r.Release(now)
 				}
 			},
-			"time passes": func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond) },
+			"time passes": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
 			"": func(t *rapid.T) {
 				check(t, p, held)
 				var left []*waiter
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -33,6 +33,11 @@
 var (
 	Answers              = Metric{"answers", Counter, []string{"service", "status"}, "answers to callers; the service is none if no route matched"}
 	Refusals             = Metric{"refusals", Counter, []string{"service", "cause"}, "requests refused as not run"}
+	SlowBodies           = Metric{"slow-bodies", Counter, []string{"direction"}, "transfers of bodies that were ended as the client was slower than the minimum rate, by direction: sent or read"}
+	MemoryBudget         = Metric{"memory-budget", Gauge, nil, "bytes that may be held for requests and responses, 0 if there is no limit"}
+	MemoryHeld           = Metric{"memory-held", Gauge, nil, "bytes held for requests and responses"}
+	MemoryHeldLarge      = Metric{"memory-held-large", Gauge, nil, "bytes among these held for requests of more than 16 KB"}
+	MemoryWaiting        = Metric{"memory-waiting", Gauge, nil, "answers of servers that wait to be read until memory is free"}
 	Latency              = Metric{"latency", Histogram, []string{"service"}, "milliseconds from a request's arrival to a server's answer"}
 	ExpectedWait         = Metric{"expected-wait", Histogram, []string{"service"}, "milliseconds that a request was expected to wait for a slot as it was sent"}
 	Sends                = Metric{"sends", Counter, []string{"service", "failure-domain"}, "attempts sent to servers"}
@@ -81,7 +86,7 @@
 // All returns all metrics in the order of the reference page.
 func All() []Metric {
 	return []Metric{
-		Answers, Refusals, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, InFlight,
+		Answers, Refusals, SlowBodies, MemoryBudget, MemoryHeld, MemoryHeldLarge, MemoryWaiting, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, InFlight,
 		ServersKnown, ServersSuspect, ServersLimited, ServersLeaving, ServersBackingOff, ServersCrashed, RequestsQuarantined, ConnectionsOpened, PathLost, Detours, ConfigurationVersion, ConfigurationAge, ConfirmationAge, ContactAge,
 		LimitReports, AccountsNearLimit, InstancesLive,
 		ChangeAge, PlatformReads, PlatformFailures, HistoryLost, OutdatedReads, PlatformRestores, RowsSkipped, PlatformWrites, PeerExchanges, PeerFailures,
