lovageyardd: a quarter of memory-mb is the budget for bodies

The admission by bytes was not in use. The setting memory-mb gives the budget, of which a quarter is for bodies: released ones stay in the heap until the next collection, and connections and control state need the rest. The new setting min-body-rate ends slow transfers; it is 0 by default. Attempts for peers count toward the budget of both instances.

--- a/detour/client.go
+++ b/detour/client.go
@@ -36,12 +36,12 @@
 
 // newClient returns an HTTP client that detects peers that have stopped answering.
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: reservingTransport{&http.Transport{
 		DialContext:         link.NewDialer(peerDialTimeout).DialContext,
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		IdleConnTimeout:     peerIdleTimeout,
 		DisableCompression:  true,
-	}}
+	}}}
 }
 
 // sendThroughPeers makes one attempt through the first of up to maxPeers peers that can send the request.
@@ -73,6 +73,7 @@
 func (s *Sender) sendThrough(ctx context.Context, p lovageyard.EntryInstance, r link.Request) (response *link.Response, unavailable bool, err error) {
 	var written atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }})
+	traced = context.WithValue(traced, reserveKey{}, r.Reserve)
 	client := wire.NewDetourProtobufClient("http://"+p.PeerAddress, s.client)
 	sentAt := s.settings.Timer.Now()
 	reply, err := client.Send(traced, s.encode(ctx, r))
@@ -107,7 +108,11 @@
 	if !errors.As(err, &rejection) {
 		return false
 	}
-	return rejection.Code() == twirp.BadRoute || rejection.Code() == twirp.PermissionDenied
+	switch rejection.Code() {
+	case twirp.BadRoute, twirp.PermissionDenied, twirp.ResourceExhausted:
+		return true
+	}
+	return false
 }
 
 func (s *Sender) count(outcome string) {
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -18,6 +18,7 @@
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
 	"lovageyard.example/lovageyard/detour"
+	"lovageyard.example/lovageyard/footprint"
 	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/timer"
@@ -180,6 +181,7 @@
 
 // fleet is a set of instances in one process that share the servers.
 type fleet struct {
+	memory   *footprint.Pool
 	c        *qt.C
 	backends backends
 	names    []string
@@ -204,9 +206,14 @@
 
 // newFleet starts instances that all know each other, each in a region of its own.
 func newFleet(t *testing.T, names ...string) *fleet {
+	return newFleetWithMemory(t, nil, names...)
+}
+
+// newFleetWithMemory is newFleet for instances with a common memory budget.
+func newFleetWithMemory(t *testing.T, memory *footprint.Pool, names ...string) *fleet {
 	c := qt.New(t)
 	f := &fleet{
-		c: c, names: names, views: make(map[string]*atomic.Pointer[catalog.View]), networks: make(map[string]*network),
+		c: c, memory: memory, names: names, views: make(map[string]*atomic.Pointer[catalog.View]), networks: make(map[string]*network),
 		senders: make(map[string]*detour.Sender), servers: make(map[string]*detour.Server), lost: make(map[string]*atomic.Bool),
 	}
 	snapshot := &catalog.Snapshot{}
@@ -247,7 +254,7 @@
 	f.lost[name] = &atomic.Bool{}
 	f.senders[name] = detour.NewSender(detour.Settings{
 		Self: name, Region: "region-" + name, Direct: f.networks[name], Source: viewOf{f, name}, Codec: codec{}, Observer: &f.leaving,
-		Timer: timer.Clock{}, Logger: logger, Metrics: meter.NewSet(), Changed: f.lost[name].Store,
+		Timer: timer.Clock{}, Logger: logger, Metrics: meter.NewSet(), Memory: f.memory, Changed: f.lost[name].Store,
 	})
 	f.servers[name] = detour.NewServer(f.senders[name], table{f})
 	f.c.Cleanup(f.senders[name].Close)
--- a/detour/sender.go
+++ b/detour/sender.go
@@ -12,6 +12,7 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/catalog"
+	"lovageyard.example/lovageyard/footprint"
 	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/meter"
 )
@@ -38,7 +39,7 @@
 	View() *catalog.View
 }
 
-// Settings are the dependencies of a Sender; all of them are required.
+// Settings are the dependencies of a Sender; all but Memory are required.
 type Settings struct {
 	// Self is the name of this instance, which runs in Region.
 	Self   string
@@ -52,6 +53,8 @@
 	Timer    lovageyard.Timer
 	Logger   *logrus.Logger
 	Metrics  *meter.Set
+	// Memory bounds the bytes that are held for attempts for peers; nil means that nothing does.
+	Memory *footprint.Pool
 	// Changed is called when the direct path is lost, and when it is regained.
 	Changed func(lost bool)
 }
--- a/detour/server.go
+++ b/detour/server.go
@@ -66,7 +66,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetTimeoutMs())*time.Millisecond)
 	defer cancel()
-	response, err := s.sender.SendDirect(ctx, s.request(r, server))
+	request := s.request(r, server)
+	request.Reserve = s.replyReserve(ctx, r.GetBody())
+	response, err := s.sender.SendDirect(ctx, request)
 	if err != nil {
 		return s.failure(err), nil
 	}
@@ -153,7 +155,7 @@
 
 // Handler returns the HTTP handler of the service, which only other instances may call.
 func (s *Server) Handler() http.Handler {
-	service := wire.NewDetourServer(s)
+	service := s.withMemory(wire.NewDetourServer(s))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !s.isInstance(r.RemoteAddr) {
 			s.sender.settings.Logger.WithField("address", r.RemoteAddr).Warn("an attempt for an unknown caller was rejected")
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -10,6 +10,7 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/dispatch"
+	"lovageyard.example/lovageyard/footprint"
 	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/meter"
 )
@@ -243,6 +244,9 @@
 	if ctx.Err() != nil || x.request.Context().Err() != nil || len(x.tried) >= x.route.Attempts {
 		return false
 	}
+	if a.err != nil && errors.Is(a.err, footprint.ErrTooLarge) {
+		return false
+	}
 	if x.brokenConnections >= maxBrokenConnections || x.evaluate().Quarantined {
 		return false
 	}
--- a/entry/log.go
+++ b/entry/log.go
@@ -50,6 +50,13 @@
 	if x.cause == causeStale {
 		fields["knowledge-age-ms"] = x.handler.Source.ConfirmationAge().Milliseconds()
 	}
+	if x.cause == causeMemory || x.cause == causeServerBytes {
+		stats := x.handler.Memory.Stats()
+		fields["body-bytes"] = x.request.ContentLength
+		fields["memory-held"] = stats.Used
+		fields["memory-held-large"] = stats.Large
+		fields["memory-budget"] = stats.Limit
+	}
 	if x.refused.Object != 0 {
 		fields["object"] = strconv.FormatUint(x.refused.Object, 16)
 	}
@@ -80,6 +87,9 @@
 	if a.choice.Object != 0 {
 		fields["object"] = strconv.FormatUint(a.choice.Object, 16)
 	}
+	if a.waitedForMemory {
+		fields["waited-for-memory"] = true
+	}
 	if a.answer != nil && a.answer.Through != "" {
 		fields["through"] = a.answer.Through
 	}
--- a/entry/reader_test.go
+++ b/entry/reader_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/footprint"
+	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/platform/fake"
 )
 
@@ -169,3 +171,25 @@
 	time.Sleep(50 * time.Millisecond)
 	return c.Conn.Read(p[:min(len(p), 3000)])
 }
+
+// overlong is a sender whose servers answer with more bytes than any budget has.
+type overlong struct {
+	sender
+	runs int
+}
+
+func (o *overlong) Send(_ context.Context, r link.Request) (*link.Response, error) {
+	o.runs++
+	return nil, lovageyard.MayHaveRun("the answer broke off", r.Reserve(1<<40))
+}
+
+// A response that is longer than the budget does not become shorter by a retry.
+func TestOverlongResponseIsNotRequestedAgain(t *testing.T) {
+	h := newHarness(t)
+	h.memory = footprint.NewPool(1 << 20)
+	servers := &overlong{}
+	h.path = servers
+	h.c.Assert(h.send(http.MethodGet, "/x/", "").StatusCode, qt.Equals, http.StatusBadGateway)
+	h.c.Assert(servers.runs, qt.Equals, 1)
+	h.c.Assert(h.memory.Stats().Used, qt.Equals, int64(0))
+}
--- a/link/progress.go
+++ b/link/progress.go
@@ -8,9 +8,12 @@
 )
 
 // AckedBytes returns the number of bytes that the other end of a TCP connection has acknowledged so far, and false
-// if that is not known. The number of written bytes tells less about a slow reader: a write waits until a large part
+// if that is not known. A wrapped connection is found by its method NetConn. The number of written bytes tells less about a slow reader: a write waits until a large part
 // of the kernel's buffer is free.
 func AckedBytes(c net.Conn) (int64, bool) {
+	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapper.NetConn()
+	}
 	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return 0, false
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -22,6 +22,7 @@
 	"lovageyard.example/lovageyard/dispatch"
 	"lovageyard.example/lovageyard/entry"
 	"lovageyard.example/lovageyard/fleet"
+	"lovageyard.example/lovageyard/footprint"
 	"lovageyard.example/lovageyard/freshness"
 	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/meter"
@@ -72,6 +73,7 @@
 	detours      *detour.Server
 	control      *fleet.Control
 	limiter      *quota.Limiter
+	memory       *footprint.Pool
 	callerServer *http.Server
 	otherServers []*http.Server
 	// version is the configuration's version at the last update of the gauges, and versionSince
@@ -157,6 +159,7 @@
 func (e *edge) assemble(self lovageyard.EntryInstance) {
 	o := e.options
 	e.shares = &entry.Shares{Window: o.ShiftWindow, Logger: e.logger, Metrics: e.meters}
+	e.memory = o.memoryPool()
 	e.store = platform.NewStore(o.PlatformAddress, e.logger)
 	e.peers = peer.NewClient()
 	e.dispatch = dispatch.NewTable(dispatch.Settings{
@@ -179,6 +182,7 @@
 		Timer:    e.timer,
 		Logger:   e.logger,
 		Metrics:  e.meters,
+		Memory:   e.memory,
 		Changed:  e.pathChanged,
 	})
 	e.detours = detour.NewServer(e.sender, e.dispatch)
@@ -263,18 +267,23 @@
 func (e *edge) serveAll(s *edgeSockets) {
 	o := e.options
 	e.callerServer = newEdgeServer(entry.NewHandler(entry.Settings{
-		Source:     e.control,
-		Codec:      platform.Headers{},
-		Sender:     e.sender,
-		Dispatch:   e.dispatch,
-		Quarantine: e.quarantine,
-		Quota:      e.limiter,
-		Timer:      e.timer,
-		Logger:     e.logger,
-		Metrics:    e.meters,
-		Shares:     e.shares,
-		Limits:     o.ageLimits(),
+		Source:      e.control,
+		Codec:       platform.Headers{},
+		Sender:      e.sender,
+		Dispatch:    e.dispatch,
+		Quarantine:  e.quarantine,
+		Quota:       e.limiter,
+		Timer:       e.timer,
+		Logger:      e.logger,
+		Metrics:     e.meters,
+		Shares:      e.shares,
+		Memory:      e.memory,
+		MinBodyRate: o.MinBodyRate,
+		Limits:      o.ageLimits(),
 	}))
+	if o.MinBodyRate > 0 {
+		e.callerServer.ConnContext = entry.ConnContext
+	}
 	e.serve(s.callers, e.callerServer)
 	e.serveOther(s.ready, &entry.Readiness{Source: e.control})
 	e.serveOther(s.lookUps, &entry.Directory{Source: e.control, KeepFor: min(o.KeepFor, o.KeepForMax)})
@@ -350,6 +359,13 @@
 	e.meters.Update(meter.InstancesLive, int64(len(view.Live)))
 	e.meters.Update(meter.LogDroppedRoutine, dropped.Routine)
 	e.meters.Update(meter.LogDroppedOther, dropped.Other)
+	if e.memory != nil {
+		held := e.memory.Stats()
+		e.meters.Update(meter.MemoryBudget, held.Limit)
+		e.meters.Update(meter.MemoryHeld, held.Used)
+		e.meters.Update(meter.MemoryHeldLarge, held.Large)
+		e.meters.Update(meter.MemoryWaiting, int64(held.Waiting))
+	}
 	for service, share := range stats.RemoteShares {
 		e.meters.Update(meter.ShareElsewhere, int64(1000*share), service)
 	}
--- a/lovageyardd/edge_options.go
+++ b/lovageyardd/edge_options.go
@@ -7,6 +7,7 @@
 
 	"lovageyard.example/lovageyard/dispatch"
 	"lovageyard.example/lovageyard/entry"
+	"lovageyard.example/lovageyard/footprint"
 	"lovageyard.example/lovageyard/settings"
 )
 
@@ -45,6 +46,7 @@
 	QuotaSlack      float64           `default:"20" help:"Requests in one window beyond that."`
 	LinkMbps        float64           `default:"0" help:"What this instance's link carries, in Mbit/s; relays are chosen by it. 0 means that it is not known."`
 	MemoryMB        int               `name:"memory-mb" default:"0" help:"Memory limit of the process in MB; 0 means none."`
+	MinBodyRate     int64             `default:"0" help:"Rate in bytes a second; a connection ends on which a body is sent or read more slowly for 5 s. 0 means none."`
 	LogLevel        string            `default:"info" help:"Lines to log: error, warning, info or debug."`
 	LogFormat       string            `default:"json" enum:"json,text" help:"Format of log lines: json or text."`
 }
@@ -107,6 +109,8 @@
 		return errors.New("--link-mbps: must not be negative")
 	case o.MemoryMB < 0:
 		return errors.New("--memory-mb: must not be negative")
+	case o.MinBodyRate < 0:
+		return errors.New("--min-body-rate: must not be negative")
 	}
 	_, err := settings.Logger(o.LogLevel, o.LogFormat)
 	return err
@@ -142,6 +146,19 @@
 	return min(o.ApplyWithin, o.DrainWithin)
 }
 
+// bodyShare is the share of the MemoryMB setting that may be held for bodies of requests and responses. Released
+// bodies stay in the heap until the next garbage collection, by which they take about twice the memory; the rest is
+// for the Go runtime, the buffers of idle connections and the control state.
+const bodyShare = 0.25
+
+// memoryPool returns the budget for bodies, or nil if the process has no memory limit.
+func (o *edgeOptions) memoryPool() *footprint.Pool {
+	if o.MemoryMB == 0 {
+		return nil
+	}
+	return footprint.NewPool(int64(bodyShare * float64(o.MemoryMB) * bytesPerMiB))
+}
+
 // localDemandShare estimates the share of requests that come from this instance's region as the share
 // of failure domains that are in it.
 func (o *edgeOptions) localDemandShare() float64 {
--- a/lovageyardd/edge_test.go
+++ b/lovageyardd/edge_test.go
@@ -102,6 +102,20 @@
 	}
 }
 
+// Without a limit of the process's memory nothing is known of what it may hold, so that no request may be refused for
+// it. With one, bodies must leave most of it to everything else.
+func TestBudgetForBodiesIsPartOfTheMemoryLimit(t *testing.T) {
+	c := qt.New(t)
+	o, err := parseEdgeOptions(c, render(c))
+	c.Assert(err, qt.IsNil)
+	c.Assert(o.MemoryMB, qt.Equals, 284)
+	c.Assert(o.memoryPool().Stats().Limit, qt.Equals, int64(71<<20))
+	c.Assert(o.MinBodyRate, qt.Equals, int64(0))
+	c.Assert((&edgeOptions{}).memoryPool(), qt.IsNil)
+	_, err = parseEdgeOptions(c, strings.Replace(render(c), `"memory-mb"`, `"min-body-rate": "-1", "memory-mb"`, 1))
+	c.Assert(err, qt.ErrorMatches, ".*--min-body-rate.*")
+}
+
 func TestSettingsFileChangeIsDetected(t *testing.T) {
 	c := qt.New(t)
 	path := filepath.Join(c.TempDir(), "settings.json")
