--- a/entry/body_test.go
+++ b/entry/body_test.go
@@ -55,9 +55,7 @@
 		defer i.written.mu.Unlock()
 		return strings.Contains(i.written.text.String(), text)
 	}
-	for !contains() {
-		time.Sleep(time.Millisecond)
-	}
+	i.awaitTrue(contains)
 }
 
 // newInstance returns an instance with a memory budget and a minimum body rate.
@@ -135,11 +133,22 @@
 	return response
 }
 
+// maxChecks is the number of checks, a millisecond or more apart, after which a condition is given up.
+const maxChecks = 20_000
+
 // await waits until a condition on the memory budget holds.
 func (i *instance) await(condition func(footprint.Stats) bool) {
-	for !condition(i.memory.Stats()) {
+	i.awaitTrue(func() bool { return condition(i.memory.Stats()) })
+}
+
+func (i *instance) awaitTrue(condition func() bool) {
+	for range maxChecks {
+		if condition() {
+			return
+		}
 		time.Sleep(time.Millisecond)
 	}
+	i.c.Fatal("the condition does not come true")
 }
 
 func isUnused(s footprint.Stats) bool { return s.Used == 0 }
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -58,7 +58,7 @@
 		// The rest would otherwise be written after the deadline is removed.
 		err = w.control.Flush()
 	}
-	w.close()
+	w.close(err == nil)
 	if err != nil && w.slow {
 		x.cause = causeSlowReader
 		x.handler.Metrics.Count(meter.SlowBodies, "read")
@@ -115,24 +115,34 @@
 		return w.moveDeadline() == nil
 	}
 	w.slow = true
-	if c, ok := w.conn.(interface{ SetLinger(seconds int) error }); ok {
-		// Also discards what is in the kernel's buffer.
-		_ = c.SetLinger(0)
-	}
+	// Closing the connection then also discards what is in the kernel's buffer.
+	w.setLinger(0)
 	_ = w.control.SetWriteDeadline(now)
 	return false
 }
 
+// setLinger sets how many seconds the kernel sends buffered data after the connection is closed; -1 is the default.
+func (w *readerWatch) setLinger(seconds int) {
+	if c, ok := w.conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(seconds)
+	}
+}
+
 // moveDeadline sets the write deadline to a time that is reached only if the watch does not run.
 func (w *readerWatch) moveDeadline() error {
 	return w.control.SetWriteDeadline(w.pace.deadline().Add(paceWindow))
 }
 
-// close ends the watch and removes the deadline, which would otherwise apply to the connection's next response.
-func (w *readerWatch) close() {
+// close ends the watch. If the response is complete, it removes the deadline, which would otherwise apply to the
+// connection's next response, and lets the kernel send the rest even if the client was found slow meanwhile.
+func (w *readerWatch) close(complete bool) {
 	close(w.stop)
 	<-w.ended
-	if !w.slow {
-		_ = w.control.SetWriteDeadline(time.Time{})
+	if !complete {
+		return
+	}
+	if w.slow {
+		w.setLinger(-1)
 	}
+	_ = w.control.SetWriteDeadline(time.Time{})
 }
--- a/footprint/pool_test.go
+++ b/footprint/pool_test.go
@@ -183,7 +183,11 @@
 	c.Assert(p.Reserve(large/8, now), qt.IsNil)
 	c.Assert(p.Reserve(SmallBytes, now), qt.IsNotNil)
 	first.Release(now)
-	<-w.admitted
+	select {
+	case <-w.admitted:
+	default:
+		c.Fatal("the waiting response is not admitted")
+	}
 	c.Assert(p.Stats().Large, qt.Equals, large)
 	// A wait ends with its context, and leaves the reservation as it was.
 	ctx, cancel := context.WithCancel(context.Background())
