--- a/entry/answer.go
+++ b/entry/answer.go
@@ -70,8 +70,9 @@
 	if x.request.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
 	}
+	x.releaseBody(a.answer.Body)
 	x.writer.WriteHeader(a.answer.Status)
-	_, err := x.writer.Write(a.answer.Body)
+	err := x.writeBody(a.answer.Body)
 	reason := a.choice.Reason
 	if err != nil {
 		reason = "writing the response failed: " + err.Error()
@@ -95,8 +96,11 @@
 func (x *exchange) refuse(cause, reason string, retryAfter time.Duration, a *attempt) {
 	x.cause = cause
 	status := http.StatusServiceUnavailable
-	if cause == causeLimit {
+	switch cause {
+	case causeLimit:
 		status = http.StatusTooManyRequests
+	case causeSlowBody:
+		status = http.StatusRequestTimeout
 	}
 	x.log(logrus.InfoLevel, "refused", status, reason, a)
 	x.handler.Metrics.Count(meter.Refusals, x.label(), cause)
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -217,6 +217,11 @@
 	return io.Copy(c.Conn, r)
 }
 
+// NetConn returns the wrapped connection.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // CloseWrite closes the sending side, which net/http does before it closes a connection with unread data.
 func (c *conn) CloseWrite() error {
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -51,7 +51,7 @@
 // connKey is the context key of the wrapped connection.
 type connKey struct{}
 
-// Attach sets the server's handler and connection context. The server has to be served on a listener
+// Attach sets the server's handler and extends its connection context. The server has to be served on a listener
 // returned by Listener.
 func (p *Pipeline) Attach(s *http.Server) {
 	p.maxHeadBytes = s.MaxHeaderBytes
@@ -59,7 +59,11 @@
 		p.maxHeadBytes = http.DefaultMaxHeaderBytes
 	}
 	s.Handler = p
+	next := s.ConnContext
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if next != nil {
+			ctx = next(ctx, c)
+		}
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	s.RegisterOnShutdown(func() { p.stopping.Store(true) })
--- a/utilisation/process.go
+++ b/utilisation/process.go
@@ -62,6 +62,11 @@
 	return n, err
 }
 
+// NetConn returns the wrapped connection.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // CloseWrite closes the writing side. net/http does so before it closes a connection whose request it has not read
 // completely: otherwise the client may lose the response to a connection reset.
 func (c *conn) CloseWrite() error {
