utilisation: the test of counted bytes waits for the server's last write

It failed once beside other tests: a write is counted when it returns, and the client may have read the whole response before.

--- a/utilisation/meter_test.go
+++ b/utilisation/meter_test.go
@@ -83,6 +83,8 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.Body.Close(), qt.IsNil)
 	c.Assert(body, qt.HasLen, size)
+	// Waits for the handler: the last write is counted when it returns, which may be after the client has read it.
+	server.Close()
 	after, err := process.Usage()
 	c.Assert(err, qt.IsNil)
 	c.Assert(after.Bytes-before.Bytes > 2*size, qt.IsTrue)
