dispatch: a single long run does not decide between both homes

One run of seven times the usual length raises a server's slowdown from 1 to 2.2, which decays within seconds, so that requests leave a home that is no slower than the other. The choice between both homes counts only the part of the slowdown that a single run can't cause.

--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -39,8 +39,10 @@
 	cost   time.Duration
 	wait   time.Duration
 	work   time.Duration
-	load   float64
-	local  bool
+	// run is the part of the cost to which the server's slowdown applies, without it, in nanoseconds.
+	run   float64
+	load  float64
+	local bool
 	// home is the home of the request's object, or nil if the request is not bound to an object.
 	home *server
 	// rule and reason explain the choice; see Choice.
@@ -98,7 +100,8 @@
 	c.work = t.workEstimate(r.Route).mean
 	c.wait = time.Duration(max(0, load+1-slots) / slots * float64(s.work.mean))
 	utilisation := utilisationCost * math.Pow(load/slots, 2) * float64(s.work.mean)
-	c.cost = t.distance(b) + time.Duration(b.slowdown*b.pace.at(r.Now)*(float64(c.wait+c.work)+utilisation)) + t.penalties(r, s, b)
+	c.run = b.pace.at(r.Now) * (float64(c.wait+c.work) + utilisation)
+	c.cost = t.distance(b) + time.Duration(b.slowdown*c.run) + t.penalties(r, s, b)
 	return c
 }
 
--- a/dispatch/second.go
+++ b/dispatch/second.go
@@ -14,6 +14,9 @@
 // service, so that an object does not alternate between homes that are equally loaded.
 const secondHomeMargin = 0.1
 
+// longRunSlowdown is about the slowdown factor after one run that took several times as long as others.
+const longRunSlowdown = 2
+
 // homes returns the servers at which the object is cached and that may get the request.
 func (t *Table) homes(r Request, s *service, object uint64) homes {
 	if !s.sharesMachines {
@@ -53,7 +56,7 @@
 	return homes{first: next}
 }
 
-// pickHome returns the home that answers a request sooner, or nil if both are full.
+// pickHome returns the home that is expected to answer a request sooner, or nil if both are full.
 func (t *Table) pickHome(r Request, s *service, h homes, estimate estimator) *candidate {
 	first := estimate(r, s, h.first)
 	if first != nil {
@@ -67,8 +70,15 @@
 		return first
 	}
 	margin := time.Duration(secondHomeMargin * float64(s.work.mean))
-	if first != nil && second.cost+margin >= first.cost {
+	if first != nil && second.lastingCost()+margin >= first.lastingCost() {
 		return first
 	}
 	return second.selected(RuleSecondHome, "the object's second home server, which is expected to answer sooner")
 }
+
+// lastingCost returns the cost without the slowdown that a single long run may have caused, as that says nothing
+// about further runs.
+func (c *candidate) lastingCost() time.Duration {
+	excess := c.server.slowdown - max(1, c.server.slowdown/longRunSlowdown)
+	return c.cost - time.Duration(excess*c.run)
+}
