dispatch: servers are ranked in one pass, without allocations

The choice among many servers ranked all of them twice, once for the own region and once for the others, computed the score of the best one again at each comparison and allocated its candidates. An instance with a part of a core makes this choice for each request.

A service keeps the hashes of its servers by region beside each other; scores are computed once and in one pass, and candidates are values.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -56,7 +56,7 @@
 	}
 	object := r.objectHash()
 	best, why := t.pick(r, s, object)
-	if best == nil {
+	if !best.isFound() {
 		if until, found := t.backpressureUntil(r, s); found && why == refusedNoServer {
 			return t.refuseUntil(r, s, until)
 		}
@@ -98,7 +98,7 @@
 var refusedNoServer = refusal{cause: CauseNoServer, reason: "no server of the service takes work"}
 
 // pick returns the server selected for a request, or the reason why there is none.
-func (t *Table) pick(r Request, s *service, object uint64) (*candidate, refusal) {
+func (t *Table) pick(r Request, s *service, object uint64) (candidate, refusal) {
 	if object != 0 {
 		return t.pickForObject(r, s, object)
 	}
@@ -128,7 +128,7 @@
 	return true
 }
 
-func (t *Table) assign(r Request, s *service, object uint64, c *candidate) Choice {
+func (t *Table) assign(r Request, s *service, object uint64, c candidate) Choice {
 	b := c.server
 	rule := c.rule
 	switch {
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -33,7 +33,7 @@
 	utilisationCost = 0.15
 )
 
-// candidate is a server with the cost estimate for one request.
+// candidate is a server with the cost estimate for one request. Its zero value stands for no server.
 type candidate struct {
 	server *server
 	cost   time.Duration
@@ -51,42 +51,47 @@
 }
 
 // selected records why the candidate is selected, and returns it.
-func (c *candidate) selected(rule, reason string) *candidate {
+func (c candidate) selected(rule, reason string) candidate {
 	c.rule = rule
 	c.reason = reason
 	return c
 }
 
-func cheaper(a, b *candidate) *candidate {
-	if a == nil || b != nil && b.cost < a.cost {
+// isFound reports whether the candidate is a server.
+func (c candidate) isFound() bool {
+	return c.server != nil
+}
+
+func cheaper(a, b candidate) candidate {
+	if !a.isFound() || b.isFound() && b.cost < a.cost {
 		return b
 	}
 	return a
 }
 
-// estimate returns the expected cost of a request at a server, or nil if the server is full.
-func (t *Table) estimate(r Request, s *service, b *server) *candidate {
+// estimate returns the expected cost of a request at a server, or none if the server is full.
+func (t *Table) estimate(r Request, s *service, b *server) candidate {
 	return t.estimateAtLoad(r, s, b, b.estimatedLoad(r.Now))
 }
 
 // estimateByAge is estimate for a server that is considered full, perhaps by an old report: it gets no
-// requests and sends no reports, so that its requests would be refused for good. The candidate is
-// nil unless the server is likely to have as much room as an alternate needs.
-func (t *Table) estimateByAge(r Request, s *service, b *server) *candidate {
+// requests and sends no reports, so that its requests would be refused for good. There is none
+// unless the server is likely to have as much room as an alternate needs.
+func (t *Table) estimateByAge(r Request, s *service, b *server) candidate {
 	c := t.estimateAtAgedLoad(r, s, b)
-	if c == nil || c.load+1 > alternateMaxLoad*float64(b.slots) {
-		return nil
+	if c.load+1 > alternateMaxLoad*float64(b.slots) {
+		return candidate{}
 	}
 	return c
 }
 
 // estimateAtAgedLoad is estimate with less weight for old reports.
-func (t *Table) estimateAtAgedLoad(r Request, s *service, b *server) *candidate {
+func (t *Table) estimateAtAgedLoad(r Request, s *service, b *server) candidate {
 	return t.estimateAtLoad(r, s, b, b.agedLoad(s.load, r.Now))
 }
 
 // estimateAtLoad is estimate with a given number of requests at the server.
-func (t *Table) estimateAtLoad(r Request, s *service, b *server, load float64) *candidate {
+func (t *Table) estimateAtLoad(r Request, s *service, b *server, load float64) candidate {
 	b.decay(r.Now)
 	maxLoad := maxLoadOther
 	if r.Rank <= s.fullQueueRank {
@@ -94,9 +99,9 @@
 	}
 	slots := float64(b.slots)
 	if load+1 > maxLoad*slots {
-		return nil
+		return candidate{}
 	}
-	c := &candidate{server: b, load: load, local: b.Region == t.settings.Region}
+	c := candidate{server: b, load: load, local: b.Region == t.settings.Region}
 	c.work = t.workEstimate(r.Route).mean
 	c.wait = time.Duration(max(0, load+1-slots) / slots * float64(s.work.mean))
 	utilisation := utilisationCost * math.Pow(load/slots, 2) * float64(s.work.mean)
--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -46,67 +46,48 @@
 
 // pickForObject returns the server for a request that concerns an object: one of the object's homes, or
 // its alternate server if they are full or so slow that even an uncached run finishes sooner.
-func (t *Table) pickForObject(r Request, s *service, object uint64) (*candidate, refusal) {
+func (t *Table) pickForObject(r Request, s *service, object uint64) (candidate, refusal) {
 	h := t.homes(r, s, object)
 	if h.first == nil {
-		return nil, refusedNoServer
+		return candidate{}, refusedNoServer
 	}
 	best, why := t.pickHomeOrAlternate(r, s, object, h)
-	if best != nil {
-		best.home = h.first
-	}
+	best.home = h.first
 	return best, why
 }
 
 // pickHomeOrAlternate returns a home, the alternate server, or the reason why none takes the request.
-func (t *Table) pickHomeOrAlternate(r Request, s *service, object uint64, h homes) (*candidate, refusal) {
+func (t *Table) pickHomeOrAlternate(r Request, s *service, object uint64, h homes) (candidate, refusal) {
 	if s.overload.active {
 		return t.pickInOverload(r, s, object, h)
 	}
 	c := t.pickHome(r, s, h, t.estimate)
-	if c != nil && c.cost <= time.Duration((1+uncachedRunCost)*float64(s.work.mean)) {
+	if c.isFound() && c.cost <= time.Duration((1+uncachedRunCost)*float64(s.work.mean)) {
 		return c, refusal{}
 	}
-	isOverloaded := c == nil || c.wait > s.work.mean
+	isOverloaded := !c.isFound() || c.wait > s.work.mean
 	alternate := t.alternate(r, s, object, h, isOverloaded)
 	switch {
-	case c == nil && alternate == nil:
+	case !c.isFound() && !alternate.isFound():
 		return t.pickFullHome(r, s, h)
-	case c == nil:
+	case !c.isFound():
 		return alternate.selected(RuleAlternate, "the object's home server is full; its alternate server has room"), refusal{}
-	case alternate != nil && alternate.cost+time.Duration(uncachedRunCost*float64(s.work.mean)) < c.cost:
+	case alternate.isFound() && alternate.cost+time.Duration(uncachedRunCost*float64(s.work.mean)) < c.cost:
 		return alternate.selected(RuleAlternate, "the object's home server is slow; its alternate server has room"), refusal{}
 	}
 	return c, refusal{}
 }
 
 // pickFullHome returns a home that is considered full, if it is by an old report only.
-func (t *Table) pickFullHome(r Request, s *service, h homes) (*candidate, refusal) {
+func (t *Table) pickFullHome(r Request, s *service, h homes) (candidate, refusal) {
 	c := t.pickHome(r, s, h, t.estimateByAge)
-	if c == nil {
-		return nil, refusal{cause: CauseHomeFull, reason: "the object's home is full, and its stand-in has no room", home: h.first}
+	if !c.isFound() {
+		return candidate{}, refusal{cause: CauseHomeFull, reason: "the object's home is full, and its stand-in has no room", home: h.first}
 	}
 	c.reason += "; the report that it is full is old"
 	return c, refusal{}
 }
 
-// highestRanked returns the highest ranked server for the object among those that the filter admits, as seen
-// from this region, other than the excluded homes.
-func (t *Table) highestRanked(r Request, s *service, object uint64, excluded homes, admits filter) *server {
-	local := t.topRanked(r, s, object, admits, func(b *server) bool { return !excluded.contains(b) && b.Region == t.settings.Region })
-	remote := t.topRanked(r, s, object, admits, func(b *server) bool { return !excluded.contains(b) && b.Region != t.settings.Region })
-	switch {
-	case local == nil:
-		return remote
-	case remote == nil:
-		return local
-	}
-	if math.Pow(local.unitScore(object), 1/s.ownWeight) >= remote.unitScore(object) {
-		return local
-	}
-	return remote
-}
-
 // updateOwnWeight updates the weight of the own region's servers. Instances that know the same servers
 // agree on it.
 func (t *Table) updateOwnWeight(s *service) {
@@ -121,14 +102,14 @@
 	}
 }
 
-// alternate returns the server that handles an object's requests while its homes can't, or nil if
+// alternate returns the server that handles an object's requests while its homes can't, or none if
 // that has no room.
 //
 // For an overloaded home it is the next in rank among all servers. Clients that are refused return,
 // and where a few homes are overloaded, those who return would otherwise all run in the regions of
 // these homes. If too many requests leave a region, or enter it, and for a home that fails, it is
 // the next in rank in the home's region.
-func (t *Table) alternate(r Request, s *service, object uint64, h homes, isOverloaded bool) *candidate {
+func (t *Table) alternate(r Request, s *service, object uint64, h homes, isOverloaded bool) candidate {
 	var next *server
 	if isOverloaded {
 		next = t.nextInRank(r, s, object, h)
@@ -136,18 +117,18 @@
 		next = t.nextInRegion(r, s, object, h)
 	}
 	if next == nil {
-		return nil
+		return candidate{}
 	}
 	c := t.estimate(r, s, next)
-	if c == nil || c.load+1 > alternateMaxLoad*float64(next.slots) {
-		return nil
+	if c.load+1 > alternateMaxLoad*float64(next.slots) {
+		return candidate{}
 	}
 	return c
 }
 
 // nextInRegion returns the highest ranked eligible server of the homes' region other than the homes.
 func (t *Table) nextInRegion(r Request, s *service, object uint64, h homes) *server {
-	return t.topRanked(r, s, object, t.isEligible, func(b *server) bool { return !h.contains(b) && b.Region == h.first.Region })
+	return t.highestInRegion(r, s, object, h.first.Region, h, t.isEligible)
 }
 
 // nextInRank returns the highest ranked eligible server other than the homes, in their region if
@@ -162,21 +143,3 @@
 	}
 	return t.nextInRegion(r, s, object, h)
 }
-
-// filter reports whether a server may be considered for a request.
-type filter func(r Request, s *service, b *server) bool
-
-// topRanked returns the highest ranked server for the object among those that the filter and the
-// condition admit, or nil.
-func (t *Table) topRanked(r Request, s *service, object uint64, admits filter, condition func(*server) bool) *server {
-	var best *server
-	for _, b := range s.servers {
-		if !condition(b) || best != nil && b.rendezvousScore(object) <= best.rendezvousScore(object) {
-			continue
-		}
-		if admits(r, s, b) {
-			best = b
-		}
-	}
-	return best
-}
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -144,16 +144,16 @@
 
 // pickInOverload returns a home of an object while the service is overloaded, or a refusal. As the home sends no
 // reports while its requests are refused, its load is estimated by the age of the last one.
-func (t *Table) pickInOverload(r Request, s *service, object uint64, h homes) (*candidate, refusal) {
+func (t *Table) pickInOverload(r Request, s *service, object uint64, h homes) (candidate, refusal) {
 	c := t.pickHome(r, s, h, t.estimateAtAgedLoad)
 	limit := s.maxWait(t.largestDistance())
-	if c == nil {
+	if !c.isFound() {
 		s.overload.admits(limit, limit, objectRank(object), r.Now)
-		return nil, refusal{cause: CauseHomeFull, reason: "the service is overloaded, and the object's home is full", home: h.first}
+		return candidate{}, refusal{cause: CauseHomeFull, reason: "the service is overloaded, and the object's home is full", home: h.first}
 	}
 	wait := c.wait - s.queueWait(1, c.server.slots)
 	if !s.overload.admits(max(0, wait), limit, objectRank(object), r.Now) {
-		return nil, refusal{cause: CauseOverload, reason: "the service is overloaded, and the object's home is busy", home: h.first}
+		return candidate{}, refusal{cause: CauseOverload, reason: "the service is overloaded, and the object's home is busy", home: h.first}
 	}
 	return c, refusal{}
 }
--- a/dispatch/region.go
+++ b/dispatch/region.go
@@ -5,39 +5,39 @@
 // pickAny returns the server for a request that is not bound to an object, in the own region or in
 // another. The share of requests that leaves the region changes slowly, so that no region sees a
 // sudden shift of load.
-func (t *Table) pickAny(r Request, s *service) (*candidate, refusal) {
+func (t *Table) pickAny(r Request, s *service) (candidate, refusal) {
 	local, remote := t.bestByRegion(r, s, t.estimate)
 	best := t.chooseRegion(r, s, local, remote)
-	if best == nil {
+	if !best.isFound() {
 		best = t.bestByOldReports(r, s)
 	}
 	switch {
-	case best != nil:
+	case best.isFound():
 		return best, refusal{}
-	case remote != nil:
-		return nil, refusal{cause: CauseRegionFull, reason: "the region's servers are full, and others take no more at once"}
+	case remote.isFound():
+		return candidate{}, refusal{cause: CauseRegionFull, reason: "the region's servers are full, and others take no more at once"}
 	}
-	return nil, refusedNoServer
+	return candidate{}, refusedNoServer
 }
 
 // chooseRegion returns the best candidate of the own region or of the other regions.
-func (t *Table) chooseRegion(r Request, s *service, local, remote *candidate) *candidate {
+func (t *Table) chooseRegion(r Request, s *service, local, remote candidate) candidate {
 	if !t.hasLocal(r, s) || len(r.Tried) > 0 {
 		return cheaper(local, remote)
 	}
 	if s.spillover == nil {
 		s.spillover = t.initialSpillover(s)
 	}
-	s.spillover.update(remote != nil && (local == nil || remote.cost < local.cost), t.settings.Shift, r.Now)
-	if s.spillover.isRemote(t.random.Float64()) && remote != nil {
+	s.spillover.update(remote.isFound() && (!local.isFound() || remote.cost < local.cost), t.settings.Shift, r.Now)
+	if s.spillover.isRemote(t.random.Float64()) && remote.isFound() {
 		return remote
 	}
 	return local
 }
 
 // bestByOldReports returns the best candidate if servers are considered full by old reports only, or
-// nil. It is in the own region if that has any servers.
-func (t *Table) bestByOldReports(r Request, s *service) *candidate {
+// none. It is in the own region if that has any servers.
+func (t *Table) bestByOldReports(r Request, s *service) candidate {
 	local, remote := t.bestByRegion(r, s, t.estimateByAge)
 	if t.hasLocal(r, s) {
 		return local
@@ -45,18 +45,18 @@
 	return cheaper(local, remote)
 }
 
-// estimator returns the expected cost of a request at a server, or nil if the server is full.
-type estimator func(r Request, s *service, b *server) *candidate
+// estimator returns the expected cost of a request at a server, or none if the server is full.
+type estimator func(r Request, s *service, b *server) candidate
 
-// bestByRegion returns the best candidates in the own region and in the other regions, or nil.
-func (t *Table) bestByRegion(r Request, s *service, estimate estimator) (local, remote *candidate) {
+// bestByRegion returns the best candidates in the own region and in the other regions, or none.
+func (t *Table) bestByRegion(r Request, s *service, estimate estimator) (local, remote candidate) {
 	for _, b := range s.servers {
 		if !t.isEligible(r, s, b) {
 			continue
 		}
 		c := estimate(r, s, b)
 		switch {
-		case c == nil:
+		case !c.isFound():
 		case c.local:
 			local = cheaper(local, c.selected(RuleLeastCost, "least expected time"))
 		default:
--- a/dispatch/second.go
+++ b/dispatch/second.go
@@ -36,7 +36,7 @@
 func (t *Table) listedHomes(r Request, s *service, object uint64) homes {
 	h := homes{first: t.highestRanked(r, s, object, homes{}, t.isListed)}
 	if h.first != nil {
-		h.second = t.topRanked(r, s, object, t.isListed, func(b *server) bool { return b != h.first && b.Region == h.first.Region })
+		h.second = t.highestInRegion(r, s, object, h.first.Region, h, t.isListed)
 	}
 	return h
 }
@@ -56,21 +56,18 @@
 	return homes{first: next}
 }
 
-// pickHome returns the home that is expected to answer a request sooner, or nil if both are full.
-func (t *Table) pickHome(r Request, s *service, h homes, estimate estimator) *candidate {
-	first := estimate(r, s, h.first)
-	if first != nil {
-		first.selected(RuleHome, "the object's home server")
-	}
+// pickHome returns the home that is expected to answer a request sooner, or none if both are full.
+func (t *Table) pickHome(r Request, s *service, h homes, estimate estimator) candidate {
+	first := estimate(r, s, h.first).selected(RuleHome, "the object's home server")
 	if h.second == nil {
 		return first
 	}
 	second := estimate(r, s, h.second)
-	if second == nil {
+	if !second.isFound() {
 		return first
 	}
 	margin := time.Duration(secondHomeMargin * float64(s.work.mean))
-	if first != nil && second.lastingCost()+margin >= first.lastingCost() {
+	if first.isFound() && second.lastingCost()+margin >= first.lastingCost() {
 		return first
 	}
 	return second.selected(RuleSecondHome, "the object's second home server, which is expected to answer sooner")
@@ -78,7 +75,7 @@
 
 // lastingCost returns the cost without the slowdown that a single long run may have caused, as that says nothing
 // about further runs.
-func (c *candidate) lastingCost() time.Duration {
+func (c candidate) lastingCost() time.Duration {
 	excess := c.server.slowdown - max(1, c.server.slowdown/longRunSlowdown)
 	return c.cost - time.Duration(excess*c.run)
 }
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -9,7 +9,6 @@
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/backpressure"
 	"lovageyard.example/lovageyard/catalog"
-	"lovageyard.example/lovageyard/instance"
 )
 
 // Parameters of the estimates that are kept for each server.
@@ -44,6 +43,7 @@
 // server is the state of one backend server as estimated by this instance.
 type server struct {
 	catalog.Server
+	// hash is the hash of the name.
 	hash     uint64
 	slots    int
 	inFlight int
@@ -77,16 +77,6 @@
 	}
 }
 
-// rendezvousScore returns the score of the server for an object; the highest score ranks first.
-func (s *server) rendezvousScore(object uint64) uint64 {
-	return instance.MixHash(object ^ s.hash)
-}
-
-// unitScore returns the score of the server for an object, scaled to the range 0 to 1.
-func (s *server) unitScore(object uint64) float64 {
-	return float64(s.rendezvousScore(object)>>11) / (1 << 53)
-}
-
 // isAvailable reports whether the server may get new requests at all.
 func (s *server) isAvailable() bool {
 	return !s.replaced && s.State == lovageyard.StateLive
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -106,8 +106,10 @@
 type service struct {
 	lovageyard.Service
 	servers []*server
-	budget  budget
-	load    meanLoad
+	// rankings hold the servers by region.
+	rankings []ranking
+	budget   budget
+	load     meanLoad
 	// spillover is set by the first request.
 	spillover *spillover
 	// work estimates the work time of all requests of the service. Initially it is the estimate of the
@@ -229,6 +231,7 @@
 	}
 	for _, s := range t.services {
 		t.updateOwnWeight(s)
+		s.updateRankings()
 		s.sharesMachines = slices.ContainsFunc(s.servers, func(b *server) bool { return b.pace.isKnown() })
 	}
 }
