dispatch: tests of the choice between both homes

They guard against a choice that changes the region of requests, objects that alternate between homes at equal load, a slow period that counts for longer than it lasts or twice, requests that leave for a third server while one home has failed or asked for a backoff, and requests of a home that has failed that go to a region to which they would not have gone before.

--- a/dispatch/second_test.go
+++ b/dispatch/second_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -47,12 +48,21 @@
 	}
 }
 
-// reportPace answers a request for each of 60 objects with a report of the pace.
+// usualWork is how long requests run at the usual pace.
+const usualWork = 100 * time.Millisecond
+
+// finishAtPace answers a request with a report of other instances' requests and of the pace, at which it has run.
+func (tt *testTable) finishAtPace(choice dispatch.Choice, others int, pace float64) {
+	tt.now = tt.now.Add(time.Duration(max(1, pace) * float64(usualWork)))
+	tt.finish(choice, dispatch.Outcome{Answered: true, Meta: lovageyard.ResponseMeta{
+		Reported: true, Load: lovageyard.LoadReport{InFlight: others, Slots: 2, Pace: pace},
+	}})
+}
+
+// reportPace lets all servers report a pace.
 func (tt *testTable) reportPace(pace float64) {
 	for i := range 60 {
-		tt.finish(tt.choose(fmt.Sprint(i)), dispatch.Outcome{Answered: true, Meta: lovageyard.ResponseMeta{
-			Reported: true, Load: lovageyard.LoadReport{Slots: 2, Pace: pace},
-		}})
+		tt.finishAtPace(tt.choose(fmt.Sprint(i)), 0, pace)
 	}
 }
 
@@ -69,3 +79,121 @@
 		tt.c.Check(rules[dispatch.RuleHome] > 0, qt.IsTrue)
 	}
 }
+
+// bothHomes returns the names of both homes of an object, the second of which is found by a slow pace of the first.
+func (tt *testTable) bothHomes(key string) (first, second lovageyard.BackendServer) {
+	choice := tt.choose(key)
+	tt.c.Assert(choice.Rule, qt.Equals, dispatch.RuleHome)
+	tt.finishAtPace(choice, 0, 5)
+	other := tt.choose(key)
+	tt.c.Assert(other.Rule, qt.Equals, dispatch.RuleSecondHome)
+	tt.finishAtPace(other, 0, 1)
+	tt.now = tt.now.Add(time.Minute)
+	return choice.Server, other.Server
+}
+
+// Whatever servers report, the choice between both homes must not change the region in which an object's requests
+// run, nor use a third server while both have room.
+func TestBothHomesAreInOneRegion(t *testing.T) {
+	const rounds = 5000
+	tt, unpaced := newTestTable(t), newTestTable(t)
+	tt.reportPace(1)
+	random := rand.New(rand.NewPCG(1, 1))
+	servers := make(map[string]map[string]bool)
+	for range rounds {
+		tt.now = tt.now.Add(20 * time.Millisecond)
+		key := fmt.Sprint(random.IntN(40))
+		choice := tt.choose(key)
+		tt.c.Assert(choice.Server.Region, qt.Equals, unpaced.run(key).Region)
+		tt.finishAtPace(choice, random.IntN(4), 1+random.Float64())
+		if servers[key] == nil {
+			servers[key] = make(map[string]bool)
+		}
+		servers[key][choice.Server.Name] = true
+		tt.c.Assert(len(servers[key]) <= 2, qt.IsTrue)
+	}
+}
+
+// An object that alternates between homes that are about equally loaded is evicted from caches sooner.
+func TestObjectStaysAtItsHomeAtEqualLoad(t *testing.T) {
+	tt := newTestTable(t)
+	tt.reportPace(1)
+	for i := range 400 {
+		tt.now = tt.now.Add(50 * time.Millisecond)
+		choice := tt.choose(fmt.Sprint(i % 20))
+		tt.c.Assert(choice.Rule, qt.Equals, dispatch.RuleHome)
+		tt.finishAtPace(choice, i%2, 1)
+	}
+}
+
+// A slow period must send requests to the second home, but not for longer than such periods last.
+func TestSecondHomeIsUsedInASlowPeriod(t *testing.T) {
+	tt := newTestTable(t)
+	tt.reportPace(1)
+	first, second := tt.bothHomes("k")
+	tt.finishAtPace(tt.choose("k"), 0, 2.5)
+	tt.now = tt.now.Add(200 * time.Millisecond)
+	choice := tt.choose("k")
+	tt.c.Check(choice.Server.Name, qt.Equals, second.Name)
+	tt.finishAtPace(choice, 0, 1)
+	tt.now = tt.now.Add(3 * time.Second)
+	tt.c.Check(tt.choose("k").Server.Name, qt.Equals, first.Name)
+}
+
+// While one home gets no requests, those for its objects must go to the other, where they are cached, but not to a
+// region to which they would not have gone without it: a whole region may be unreachable.
+func TestOtherHomeWhileOneGetsNoRequests(t *testing.T) {
+	for name, exclude := range map[string]func(*testTable, dispatch.Choice){
+		"no answer": func(tt *testTable, c dispatch.Choice) { tt.finish(c, dispatch.Outcome{}) },
+		"backoff": func(tt *testTable, c dispatch.Choice) {
+			tt.table.Observe(c.Server, lovageyard.Backpressure{Backoff: time.Minute}, tt.now, tt.now)
+			tt.table.Cancel(c)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			kept := 0
+			for i := range 30 {
+				key := fmt.Sprint(i)
+				tt, unpaced := newTestTable(t), newTestTable(t)
+				tt.reportPace(1)
+				first, second := tt.bothHomes(key)
+				unpaced.now = tt.now
+				exclude(tt, tt.choose(key))
+				exclude(unpaced, unpaced.choose(key))
+				got, before := tt.choose(key).Server, unpaced.choose(key).Server
+				if second.Region == "east" || second.Region == before.Region {
+					tt.c.Check(got.Name, qt.Equals, second.Name)
+				} else {
+					tt.c.Check(got.Name, qt.Equals, before.Name)
+				}
+				if got.Region == first.Region && before.Region != first.Region {
+					kept++
+				}
+			}
+			qt.Check(t, kept > 0, qt.IsTrue)
+		})
+	}
+}
+
+// A slow period that servers report must not raise the slowdown that is learned from their answers: it would count
+// twice, and for longer than the period lasts.
+func TestReportedPaceIsNoSlowdown(t *testing.T) {
+	var expected [2]time.Duration
+	const slowest = 250 * time.Millisecond
+	for i, pace := range []float64{0, 2.5} {
+		tt := newTestTable(t)
+		tt.view.Servers = tt.view.Servers[:1]
+		tt.table.SetCatalog(tt.view, tt.now)
+		for range 20 {
+			tt.finishAtPace(tt.choose("k"), 0, min(1, pace))
+		}
+		for range 5 {
+			choice := tt.choose("k")
+			tt.now = tt.now.Add(slowest - time.Duration(max(1, pace)*float64(usualWork)))
+			tt.finishAtPace(choice, 0, pace)
+		}
+		tt.now = tt.now.Add(2 * time.Second)
+		expected[i] = tt.choose("k").Expected
+	}
+	qt.Check(t, float64(expected[1]) < 0.7*float64(expected[0]), qt.IsTrue, qt.Commentf("%v", expected))
+}
