dispatch: second homes only for as many objects as servers cache

A second home doubles the objects that a server caches.

An instance estimates the number of a service's objects from how many of its own requests of the last minute or two concern an object again, and gives second homes to as many objects as a cache of 10 holds; none while the number is unknown.

--- a/dispatch/second.go
+++ b/dispatch/second.go
@@ -19,7 +19,10 @@
 
 // homes returns the servers at which the object is cached and that may get the request.
 func (t *Table) homes(r Request, s *service, object uint64) homes {
-	if !s.sharesMachines {
+	if s.sharesMachines {
+		t.countObject(s, object, r.Now)
+	}
+	if !s.hasSecondHome(object) {
 		return homes{first: t.highestRanked(r, s, object, homes{}, t.isEligible)}
 	}
 	h := t.listedHomes(r, s, object)
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -124,6 +124,7 @@
 	// sharesMachines means that servers of the service report the pace of their machines, so that objects
 	// have two homes.
 	sharesMachines bool
+	objects        objectCount
 	// fullQueueRank is the rank up to which requests may fill the queues.
 	fullQueueRank int
 }
