--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -42,11 +42,19 @@
 // the filter admits, other than the excluded homes. There must be one. The order is independent of the one by which
 // the region was selected, so that it does not change how many objects have their home in the region.
 func (t *Table) highestNearby(r Request, s *service, object uint64, excluded homes, admits filter) *server {
+	own := s.rankingOf(t.settings.Region)
 	local := instance.MixHash(object)
-	region := t.topRanked(r, s, local, admits, func(b *server) bool { return !excluded.contains(b) && b.Region == t.settings.Region })
-	domain := t.topRanked(r, s, local, admits, func(b *server) bool { return !excluded.contains(b) && b.FailureDomain == t.settings.FailureDomain })
-	if domain == nil || math.Pow(domain.unitScore(local), 1.0/ownDomainWeight) < region.unitScore(local) {
-		return region
+	region := own.top(r, s, local, excluded, admits, ranked{})
+	domain := own.top(r, s, local, excluded, t.inOwnDomain(admits), ranked{})
+	if domain.server == nil || math.Pow(domain.unitScore(), 1.0/ownDomainWeight) < region.unitScore() {
+		return region.server
+	}
+	return domain.server
+}
+
+// inOwnDomain returns a filter that admits only servers of the own failure domain.
+func (t *Table) inOwnDomain(admits filter) filter {
+	return func(r Request, s *service, b *server) bool {
+		return b.FailureDomain == t.settings.FailureDomain && admits(r, s, b)
 	}
-	return domain
 }
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -106,8 +106,10 @@
 type service struct {
 	lovageyard.Service
 	servers []*server
-	budget  budget
-	load    meanLoad
+	// rankings hold the servers by region.
+	rankings []ranking
+	budget   budget
+	load     meanLoad
 	// spillover is set by the first request.
 	spillover *spillover
 	// work estimates the work time of all requests of the service. Initially it is the estimate of the
@@ -122,6 +124,7 @@
 	// sharesMachines means that servers of the service report the pace of their machines, so that objects
 	// have two homes.
 	sharesMachines bool
+	objects        objectCount
 	// fullQueueRank is the rank up to which requests may fill the queues.
 	fullQueueRank int
 }
@@ -229,6 +232,7 @@
 	}
 	for _, s := range t.services {
 		t.updateOwnWeight(s)
+		s.updateRankings()
 		s.sharesMachines = slices.ContainsFunc(s.servers, func(b *server) bool { return b.pace.isKnown() })
 	}
 }
