dispatch: a second home counts as uncached until the object has run there

Cause: with two homes for each object, the uncached runs after a start or a fault doubled while servers were short of slots.

TestSecondHomeIsUsedInASlowPeriod keeps its checks; its object now ran at the second home 15 s before and not a minute before, as that is what makes the second home eligible. TestUncachedSecondHomeIsNotUsedInASlowPeriod is new.

--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -61,7 +61,7 @@
 	if s.overload.active {
 		return t.pickInOverload(r, s, object, h)
 	}
-	c := t.pickHome(r, s, h, t.estimate)
+	c := t.pickHome(r, s, object, h, t.estimate)
 	if c.isFound() && c.cost <= time.Duration((1+uncachedRunCost)*float64(s.work.mean)) {
 		return c, refusal{}
 	}
@@ -69,7 +69,7 @@
 	alternate := t.alternate(r, s, object, h, isOverloaded)
 	switch {
 	case !c.isFound() && !alternate.isFound():
-		return t.pickFullHome(r, s, h)
+		return t.pickFullHome(r, s, object, h)
 	case !c.isFound():
 		return alternate.selected(RuleAlternate, "the object's home server is full; its alternate server has room"), refusal{}
 	case alternate.isFound() && alternate.cost+time.Duration(uncachedRunCost*float64(s.work.mean)) < c.cost:
@@ -79,8 +79,8 @@
 }
 
 // pickFullHome returns a home that is considered full, if it is by an old report only.
-func (t *Table) pickFullHome(r Request, s *service, h homes) (candidate, refusal) {
-	c := t.pickHome(r, s, h, t.estimateByAge)
+func (t *Table) pickFullHome(r Request, s *service, object uint64, h homes) (candidate, refusal) {
+	c := t.pickHome(r, s, object, h, t.estimateByAge)
 	if !c.isFound() {
 		return candidate{}, refusal{cause: CauseHomeFull, reason: "the object's home is full, and its stand-in has no room", home: h.first}
 	}
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -145,7 +145,7 @@
 // pickInOverload returns a home of an object while the service is overloaded, or a refusal. As the home sends no
 // reports while its requests are refused, its load is estimated by the age of the last one.
 func (t *Table) pickInOverload(r Request, s *service, object uint64, h homes) (candidate, refusal) {
-	c := t.pickHome(r, s, h, t.estimateAtAgedLoad)
+	c := t.pickHome(r, s, object, h, t.estimateAtAgedLoad)
 	limit := s.maxWait(t.largestDistance())
 	if !c.isFound() {
 		s.overload.admits(limit, limit, objectRank(object), r.Now)
--- a/dispatch/second.go
+++ b/dispatch/second.go
@@ -60,7 +60,7 @@
 }
 
 // pickHome returns the home that is expected to answer a request sooner, or none if both are full.
-func (t *Table) pickHome(r Request, s *service, h homes, estimate estimator) candidate {
+func (t *Table) pickHome(r Request, s *service, object uint64, h homes, estimate estimator) candidate {
 	first := estimate(r, s, h.first).selected(RuleHome, "the object's home server")
 	if h.second == nil {
 		return first
@@ -69,8 +69,7 @@
 	if !second.isFound() {
 		return first
 	}
-	margin := time.Duration(secondHomeMargin * float64(s.work.mean))
-	if first.isFound() && second.lastingCost()+margin >= first.lastingCost() {
+	if first.isFound() && second.lastingCost()+s.secondHomeCost(object, h, r.Now) >= first.lastingCost() {
 		return first
 	}
 	return second.selected(RuleSecondHome, "the object's second home server, which is expected to answer sooner")
--- a/dispatch/second_test.go
+++ b/dispatch/second_test.go
@@ -116,7 +116,7 @@
 	other := tt.choose(key)
 	tt.c.Assert(other.Rule, qt.Equals, dispatch.RuleSecondHome)
 	tt.finishAtPace(other, 0, 1)
-	tt.now = tt.now.Add(time.Minute)
+	tt.now = tt.now.Add(15 * time.Second)
 	return choice.Server, other.Server
 }
 
@@ -168,6 +168,18 @@
 	tt.c.Check(tt.choose("k").Server.Name, qt.Equals, first.Name)
 }
 
+// After a start or a fault, when servers are short of slots, uncached runs at second homes hold up all requests. A
+// second home that has not run the object gets it only if that is faster by more than a slow period of the first one.
+func TestUncachedSecondHomeIsNotUsedInASlowPeriod(t *testing.T) {
+	tt := newTestTable(t)
+	tt.reportPace(1)
+	first, _ := tt.bothHomes("k")
+	tt.now = tt.now.Add(time.Minute)
+	tt.finishAtPace(tt.choose("k"), 0, 2.5)
+	tt.now = tt.now.Add(200 * time.Millisecond)
+	tt.c.Check(tt.choose("k").Server.Name, qt.Equals, first.Name)
+}
+
 // While one home gets no requests, those for its objects must go to the other, where they are cached, but not to a
 // region to which they would not have gone without it: a whole region may be unreachable.
 func TestOtherHomeWhileOneGetsNoRequests(t *testing.T) {
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -48,11 +48,13 @@
 	slots    int
 	inFlight int
 	// others is the number of other instances' requests at the server at othersAt.
-	others              float64
-	othersMean          float64
-	othersAt            time.Time
-	slowdown            float64
-	pace                pace
+	others     float64
+	othersMean float64
+	othersAt   time.Time
+	slowdown   float64
+	pace       pace
+	// runs are recorded only where objects have second homes.
+	runs                recentRuns
 	failureRate         float64
 	decayedAt           time.Time
 	consecutiveFailures int
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -359,6 +359,9 @@
 			s.consecutiveFailures = 0
 		}
 		t.updateWork(c, o)
+		if c.service.sharesMachines && c.Object != 0 && !o.Failed && !o.NotRun {
+			s.runs.record(c.Object, o.At)
+		}
 	}
 }
 
