dispatch: less urgent requests leave the goals of urgent ones in queues

Cause: a server runs its queue in the order of arrival, so that uploads in front of checks delay these beyond their goal; ranks only moved the limit of the queue from 2.5 to 3 times the slots. Change: where routes or accounts of different rank share a service, a less urgent request enters a queue only if the next urgent one that arrives there still meets its goal. It is offered to an alternate server with a free slot before it is refused with the new cause 'reserved'. The simulation has kinds of requests and client accounts; workloads with one kind run the same events as before.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -30,6 +30,8 @@
 	CauseBackpressure = "backpressure"
 	CauseDeadline     = "deadline"
 	CauseOverload     = "overload"
+	// CauseReserved means that the object's home has room, but only for more urgent requests.
+	CauseReserved = "reserved"
 )
 
 // Rules by which a server is selected, as used in metrics and logs.
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -86,7 +86,7 @@
 		maxLoad = maxLoadUrgent
 	}
 	slots := float64(b.slots)
-	if load+1 > maxLoad*slots {
+	if load+1 > maxLoad*slots || !t.leavesGoals(r, s, b, load) {
 		return nil
 	}
 	c := &candidate{server: b, load: load, local: b.Region == t.settings.Region}
--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -42,6 +42,9 @@
 		return nil, refusedNoServer
 	}
 	best, why := t.pickHomeOrAlternate(r, s, object, home)
+	if best == nil {
+		best, why = t.pickFreeSlot(r, s, object, home, why)
+	}
 	if best != nil {
 		best.home = home
 	}
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -132,7 +132,12 @@
 
 // maxWait returns the longest wait with which a request at a distance meets the service's goal.
 func (s *service) maxWait(distance time.Duration) time.Duration {
-	return max(time.Duration(minWaitShare*float64(s.goal)), s.goal-s.work.mean-distance)
+	return longestWait(s.goal, s.work.mean, distance)
+}
+
+// longestWait returns the longest wait that a request may have for its goal, given its work and its distance.
+func longestWait(goal, work, distance time.Duration) time.Duration {
+	return max(time.Duration(minWaitShare*float64(goal)), goal-work-distance)
 }
 
 // reportLoad applies a server's load report to the overload of its service.
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -16,6 +16,24 @@
 	"lovageyard.example/lovageyard/dispatch"
 )
 
+// requestKind is a kind of requests that share the servers of a workload. Those without a value have that of the
+// workload.
+type requestKind struct {
+	name                        string
+	rank                        int
+	objects                     int
+	rate                        float64
+	uncachedWork, goal, timeout time.Duration
+	bursts                      []burst
+	// account returns the client account of a request; nil means that there are none.
+	account func(m *simulation) string
+}
+
+// kindCounts counts the requests of one kind or account: all, those that a server ran, and those in goal.
+type kindCounts struct {
+	requests, served, inGoal int
+}
+
 // simServer runs requests in slots, queues a few, and caches the objects that it ran last.
 type simServer struct {
 	lovageyard.BackendServer
@@ -48,7 +66,9 @@
 
 // simRequest is one client's request.
 type simRequest struct {
+	kind    *requestKind
 	key     string
+	account string
 	region  string
 	arrived time.Time
 	done    func(notRun bool, at time.Time)
@@ -121,6 +141,20 @@
 	// restartAt is when all instances are replaced by ones that know nothing; 0 means never.
 	restartAt time.Duration
 	seed      uint64
+	// kinds are the kinds of requests; without any, all requests are alike.
+	kinds []requestKind
+	// accounts are the client accounts that are configured.
+	accounts []lovageyard.Account
+}
+
+// requestKinds returns the kinds of requests of the workload.
+func (l workload) requestKinds() []requestKind {
+	if len(l.kinds) > 0 {
+		return l.kinds
+	}
+	return []requestKind{{
+		name: "r", objects: l.objects, rate: l.rate, uncachedWork: l.uncachedWork, goal: l.goal, timeout: l.timeout, bursts: l.bursts,
+	}}
 }
 
 // burst multiplies the rate of requests by factor between two times since the start. It affects one
@@ -131,10 +165,10 @@
 	region   string
 }
 
-// rateAt returns the requests per second of a region at a time since the start.
-func (l workload) rateAt(index int, since time.Duration) float64 {
-	rate := l.rate
-	for _, b := range l.bursts {
+// rateAt returns the requests per second of a kind in a region at a time since the start.
+func (l workload) rateAt(kind *requestKind, index int, since time.Duration) float64 {
+	rate := kind.rate
+	for _, b := range kind.bursts {
 		if since >= b.from && since < b.to && (b.region == "" || b.region == regions[index]) {
 			rate *= b.factor
 		}
@@ -164,6 +198,10 @@
 	windows map[string]map[int][2]int
 	// sentTo holds the servers that each object was sent to.
 	sentTo map[string]map[string]bool
+	// observe, if it is set, is called with each choice of a table.
+	observe func(dispatch.Choice)
+	// kindCounts and accountCounts count the requests by the names of kinds and accounts.
+	kindCounts, accountCounts map[string]*kindCounts
 	// first and returned count the requests of each region by the region in which they run: those
 	// sent for the first time, and those whose clients had been refused before.
 	first, returned map[string]regionCounts
@@ -208,6 +246,8 @@
 	m.sentAt = make(map[int]int)
 	m.fullAt = make(map[int]int)
 	m.refusedAt = make(map[int]int)
+	m.kindCounts = make(map[string]*kindCounts)
+	m.accountCounts = make(map[string]*kindCounts)
 	m.first = make(map[string]regionCounts)
 	m.returned = make(map[string]regionCounts)
 	for _, region := range regions {
@@ -266,14 +306,14 @@
 func (m *simulation) start(s *simServer, r *simRequest, now time.Time) {
 	s.running++
 	spread := 0.85 + 0.3*m.random.Float64()
-	took := time.Duration(spread * float64(s.work(r, m.uncachedWork)))
+	took := time.Duration(spread * float64(s.work(r, r.kind.uncachedWork)))
 	m.at(now.Add(took), func(now time.Time) {
 		s.running--
 		m.at(now.Add(distance(r.region, s)), func(now time.Time) { r.done(false, now) })
 		for len(s.queue) > 0 {
 			next := s.queue[0]
 			s.queue = s.queue[1:]
-			if now.Sub(next.arrived) < m.timeout {
+			if now.Sub(next.arrived) < next.kind.timeout {
 				m.start(s, next, now)
 				return
 			}
@@ -289,8 +329,11 @@
 // run simulates the workload and returns the share of requests that were answered within the goal.
 func (m *simulation) run(choose chooser) float64 {
 	end := m.now.Add(m.duration)
+	kinds := m.requestKinds()
 	for index, region := range regions {
-		m.arrive(index, region, end, choose)
+		for i := range kinds {
+			m.arrive(&kinds[i], index, region, end, choose)
+		}
 	}
 	half := m.now.Add(m.duration / 2)
 	m.at(half, func(time.Time) {
@@ -320,16 +363,16 @@
 	})
 }
 
-func (m *simulation) arrive(index int, region string, end time.Time, choose chooser) {
-	rate := m.rateAt(index, m.now.Sub(start))
+func (m *simulation) arrive(kind *requestKind, index int, region string, end time.Time, choose chooser) {
+	rate := m.rateAt(kind, index, m.now.Sub(start))
 	gap := time.Duration(m.random.ExpFloat64() / rate * float64(time.Second))
 	at := m.now.Add(gap)
 	if at.After(end) {
 		return
 	}
 	m.at(at, func(time.Time) {
-		m.handle(index, region, choose)
-		m.arrive(index, region, end, choose)
+		m.handle(kind, index, region, choose)
+		m.arrive(kind, index, region, end, choose)
 	})
 }
 
@@ -360,16 +403,35 @@
 	return float64(counted) / float64(sent)
 }
 
-func (m *simulation) handle(index int, region string, choose chooser) {
+func (m *simulation) handle(kind *requestKind, index int, region string, choose chooser) {
 	m.requests++
 	m.sentAt[m.second()]++
-	r := &simRequest{key: fmt.Sprint(m.random.IntN(m.objects)), region: region, arrived: m.now}
+	r := &simRequest{kind: kind, key: fmt.Sprint(m.random.IntN(kind.objects)), region: region, arrived: m.now}
 	if !m.shared {
 		r.key = region + r.key
 	}
+	if len(m.kinds) > 0 {
+		r.key = kind.name + r.key
+	}
+	if kind.account != nil {
+		r.account = kind.account(m)
+	}
+	m.count(r, func(c *kindCounts) { c.requests++ })
 	m.attempt(index, r, choose)
 }
 
+// count updates the counts of a request's kind and account.
+func (m *simulation) count(r *simRequest, update func(*kindCounts)) {
+	if m.kindCounts[r.kind.name] == nil {
+		m.kindCounts[r.kind.name] = &kindCounts{}
+	}
+	update(m.kindCounts[r.kind.name])
+	if m.accountCounts[r.account] == nil {
+		m.accountCounts[r.account] = &kindCounts{}
+	}
+	update(m.accountCounts[r.account])
+}
+
 // attempt makes one attempt of a client at a random instance of its region.
 func (m *simulation) attempt(index int, r *simRequest, choose chooser) {
 	region := r.region
@@ -389,8 +451,13 @@
 		if notRun {
 			m.fullAt[m.second()]++
 		}
-		if !notRun && at.Sub(r.arrived) <= m.goal {
+		if notRun {
+			return
+		}
+		m.count(r, func(c *kindCounts) { c.served++ })
+		if at.Sub(r.arrived) <= r.kind.goal {
 			m.inGoal++
+			m.count(r, func(c *kindCounts) { c.inGoal++ })
 		}
 	}
 	m.send(s, r)
@@ -523,13 +590,22 @@
 
 // chooseByTable is the implementation under test: one table for each instance.
 func chooseByTable(m *simulation) chooser {
-	route := &lovageyard.Route{
-		Name: "r", Host: "h", Prefix: "/", Idempotent: true, Goal: m.goal, Timeout: m.timeout, Attempts: 2, Sticky: true,
-		Parts: []lovageyard.ServiceWeight{{Service: "desk", Weight: 1}},
-	}
 	view := &catalog.Snapshot{Configuration: &lovageyard.Configuration{
-		Version: 1, Routes: []lovageyard.Route{*route}, Services: map[string]lovageyard.Service{"desk": {Name: "desk"}},
+		Version: 1, Services: map[string]lovageyard.Service{"desk": {Name: "desk"}}, Accounts: m.accounts,
 	}}
+	routes := make(map[string]*lovageyard.Route)
+	for _, k := range m.requestKinds() {
+		route := lovageyard.Route{
+			Name: k.name, Host: "h", Prefix: "/", Idempotent: true, Goal: k.goal, Timeout: k.timeout, Attempts: 2, Sticky: true,
+			Rank: k.rank, Parts: []lovageyard.ServiceWeight{{Service: "desk", Weight: 1}},
+		}
+		view.Configuration.Routes = append(view.Configuration.Routes, route)
+		routes[k.name] = &route
+	}
+	accountRanks := make(map[string]int)
+	for _, a := range m.accounts {
+		accountRanks[a.Name] = a.Rank
+	}
 	byName := make(map[string]*simServer)
 	for _, s := range m.servers {
 		byName[s.Name] = s
@@ -541,9 +617,18 @@
 	}
 	return func(m *simulation, instance int, r *simRequest) (*simServer, func(bool, time.Time)) {
 		table := tables[instance]
+		route := routes[r.kind.name]
+		rank := route.Rank
+		if r.account != "" {
+			rank = accountRanks[r.account]
+		}
 		choice := table.Choose(dispatch.Request{
-			Now: m.now, Route: route, Rank: route.Rank, Regions: route.HomeRegions, Service: "desk", Key: m.objectKey(r), Deadline: m.now.Add(m.timeout),
+			Now: m.now, Route: route, Rank: rank, Account: r.account, Regions: route.HomeRegions, Service: "desk", Key: m.objectKey(r),
+			Deadline: m.now.Add(route.Timeout),
 		})
+		if m.observe != nil {
+			m.observe(choice)
+		}
 		if choice.Refused {
 			r.cause = choice.Cause
 			r.retryAfter = choice.RetryAfter
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -42,6 +42,8 @@
 	HashOverride uint64
 	// Rank is the priority of the request under overload; 0 is the highest.
 	Rank int
+	// Account names the client account that sends the request, or is "".
+	Account string
 	// Regions are the regions in which the request may run; empty means all.
 	Regions []string
 	// Tried names the servers that earlier attempts were sent to.
@@ -121,6 +123,8 @@
 	ownWeight float64
 	// fullQueueRank is the rank up to which requests may fill the queues.
 	fullQueueRank int
+	// protected holds the more urgent routes of each priority; see setPriorities.
+	protected map[priority][]protectedRoute
 }
 
 // raiseInitialMean raises the initial estimate to a route's estimate, until an answer was measured:
@@ -253,6 +257,9 @@
 			}
 		}
 	}
+	for name, s := range t.services {
+		t.setPriorities(name, s, c)
+	}
 }
 
 func (t *Table) setServer(listed catalog.Server, now time.Time) {
