--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -181,7 +181,7 @@
 	if s != nil {
 		mean = s.work.mean
 	}
-	return Choice{Refused: true, Cause: cause, Reason: reason, RetryAfter: t.retryAfter(r, mean)}
+	return Choice{Refused: true, Cause: cause, Reason: reason, RetryAfter: t.retryAfter(r, mean), BeyondShare: r.standing.beyondShare}
 }
 
 // refuseAtHome refuses a request for an object whose home is full or busy. Its client should retry once the home
@@ -193,13 +193,14 @@
 		drained = s.admission.retryAfter(r, drained)
 	}
 	return Choice{
-		Refused:    true,
-		Cause:      why.cause,
-		Reason:     why.reason,
-		RetryAfter: t.retryAfter(r, drained),
-		Object:     object,
-		Server:     why.home.BackendServer,
-		Load:       load,
+		Refused:     true,
+		Cause:       why.cause,
+		Reason:      why.reason,
+		RetryAfter:  t.retryAfter(r, drained),
+		Object:      object,
+		BeyondShare: r.standing.beyondShare,
+		Server:      why.home.BackendServer,
+		Load:        load,
 	}
 }
 
--- a/dispatch/priority.go
+++ b/dispatch/priority.go
@@ -131,7 +131,7 @@
 // reservedAtHome returns the reason for a refusal, which is a reservation if the home has room.
 func (t *Table) reservedAtHome(r Request, s *service, home *server, why refusal) refusal {
 	if why.cause == CauseHomeFull && t.isReserved(r, s, home) {
-		why.cause, why.reason = CauseReserved, "the object's home is kept for more urgent requests, and its alternate servers have no free slot"
+		why.cause, why.reason = CauseReserved, "the object's home has no room for the request's rank, and its alternate servers have no free slot"
 	}
 	return why
 }
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -15,14 +15,17 @@
 	BackingOff int
 	// RemoteShares is the share of the region's requests that runs in other regions, by service.
 	RemoteShares map[string]float64
+	// Overloaded tells which services are overloaded, by service.
+	Overloaded map[string]bool
 }
 
 // Stats returns the counts at a time. It is safe for concurrent use.
 func (t *Table) Stats(now time.Time) Stats {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := Stats{RemoteShares: make(map[string]float64)}
+	c := Stats{RemoteShares: make(map[string]float64), Overloaded: make(map[string]bool)}
 	for name, s := range t.services {
+		c.Overloaded[name] = s.overload.active
 		if s.spillover != nil {
 			c.RemoteShares[name] = s.spillover.share
 		}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -78,6 +78,8 @@
 	Object uint64
 	// Refused means that no server was selected.
 	Refused bool
+	// BeyondShare means that the request was refused while its account got more than its fair share.
+	BeyondShare bool
 	// RetryAfter is the delay after which a refused client should retry.
 	RetryAfter time.Duration
 
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +44,7 @@
 	choice := x.choose()
 	if choice.Refused {
 		x.refused = choice
+		x.countRefusal(choice)
 		x.refuse(choice.Cause, choice.Reason, choice.RetryAfter, nil)
 		return
 	}
@@ -68,6 +70,14 @@
 	}
 }
 
+// countRefusal updates the metrics for a request that no server was selected for.
+func (x *exchange) countRefusal(choice dispatch.Choice) {
+	x.handler.Metrics.Count(meter.RankRefusals, x.label(), strconv.Itoa(x.caller.rank(x.route)))
+	if choice.BeyondShare {
+		x.handler.Metrics.Count(meter.ShareRefusals, x.label())
+	}
+}
+
 // admitRetry reports whether a retry may go to the chosen server. It cancels the choice if not.
 func (x *exchange) admitRetry(choice dispatch.Choice) bool {
 	if choice.Refused {
--- a/entry/log.go
+++ b/entry/log.go
@@ -33,6 +33,7 @@
 	if x.route != nil {
 		fields["route"] = x.route.Name
 		fields["service"] = x.service
+		fields["rank"] = x.caller.rank(x.route)
 		fields["goal-ms"] = x.route.Goal.Milliseconds()
 		fields["left-ms"] = x.deadline.Sub(x.handler.Timer.Now()).Milliseconds()
 	}
@@ -50,6 +51,9 @@
 	if x.cause == causeStale {
 		fields["knowledge-age-ms"] = x.handler.Source.ConfirmationAge().Milliseconds()
 	}
+	if x.refused.BeyondShare {
+		fields["beyond-share"] = true
+	}
 	if x.refused.Object != 0 {
 		fields["object"] = strconv.FormatUint(x.refused.Object, 16)
 	}
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -353,6 +353,13 @@
 	for service, share := range stats.RemoteShares {
 		e.meters.Update(meter.ShareElsewhere, int64(1000*share), service)
 	}
+	for service, overloaded := range stats.Overloaded {
+		value := int64(0)
+		if overloaded {
+			value = 1
+		}
+		e.meters.Update(meter.Overloaded, value, service)
+	}
 }
 
 // ageMillis returns an age in milliseconds, or -1 if it is freshness.Unknown.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -33,6 +33,9 @@
 var (
 	Answers              = Metric{"answers", Counter, []string{"service", "status"}, "answers to callers; the service is none if no route matched"}
 	Refusals             = Metric{"refusals", Counter, []string{"service", "cause"}, "requests refused as not run"}
+	RankRefusals         = Metric{"refusals-by-rank", Counter, []string{"service", "rank"}, "requests for which no server was selected, by the rank of the account, or of the route if there is none"}
+	ShareRefusals        = Metric{"refusals-beyond-share", Counter, []string{"service"}, "requests among these whose accounts get more than their fair share of the service"}
+	Overloaded           = Metric{"overloaded", Gauge, []string{"service"}, "1 while the queues of most servers of the service stand, so that requests are refused in the order of rank, account and object"}
 	Latency              = Metric{"latency", Histogram, []string{"service"}, "milliseconds from a request's arrival to a server's answer"}
 	ExpectedWait         = Metric{"expected-wait", Histogram, []string{"service"}, "milliseconds that a request was expected to wait for a slot as it was sent"}
 	Sends                = Metric{"sends", Counter, []string{"service", "failure-domain"}, "attempts sent to servers"}
@@ -81,7 +84,7 @@
 // All returns all metrics in the order of the reference page.
 func All() []Metric {
 	return []Metric{
-		Answers, Refusals, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, InFlight,
+		Answers, Refusals, RankRefusals, ShareRefusals, Overloaded, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, InFlight,
 		ServersKnown, ServersSuspect, ServersLimited, ServersLeaving, ServersBackingOff, ServersCrashed, RequestsQuarantined, ConnectionsOpened, PathLost, Detours, ConfigurationVersion, ConfigurationAge, ConfirmationAge, ContactAge,
 		LimitReports, AccountsNearLimit, InstancesLive,
 		ChangeAge, PlatformReads, PlatformFailures, HistoryLost, OutdatedReads, PlatformRestores, RowsSkipped, PlatformWrites, PeerExchanges, PeerFailures,
