docs: ranks and client accounts at saturated servers

A request that a server rejects later is taken back from the counts with the weight that it still has.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -139,7 +139,8 @@
 // withdraw counts a choice as not accepted, as no server has run it.
 func (c Choice) withdraw(now time.Time) {
 	if c.counted {
-		c.service.admission.accept(c.priority, c.account, -1, now)
+		age := now.Sub(c.sentAt)
+		c.service.admission.accept(c.priority, c.account, -math.Exp(-float64(age)/float64(admissionWindow)), now)
 	}
 }
 
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -12,7 +12,8 @@
 // that estimate slowly (region.go, spillover.go). Requests wait in the queues of the servers, so that
 // servers are never idle while there is work. A request is refused immediately if no eligible server
 // has room or can answer before the deadline. In a lasting overload, homes accept only requests that they
-// can answer within the goal (overload.go).
+// can answer within the goal (overload.go). Requests of different ranks leave room in queues to the more urgent
+// (priority.go); in an overload lower ranks, and accounts that flood a service, are refused first (admission.go).
 //
 // Limits that hold for all instances together, such as the rate of requests to a cold server and the
 // retry budget, are divided among the instances.
