--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -200,3 +200,34 @@
 		h.c.Check(h.quota.returned, qt.Equals, test.returned)
 	}
 }
+
+// The choice of a server must know the account, and the log has to tell that a refused account floods the service.
+func TestRefusalTellsThatAnAccountFloodsTheService(t *testing.T) {
+	h := newAccountHarness(t)
+	h.accounts["c"] = map[string]any{"Keys": []string{"kc"}}
+	h.setRoute(h.route)
+	handler := h.handler()
+	sendAs := func(key string) *http.Response {
+		request := httptest.NewRequest(http.MethodGet, "/x/1", nil)
+		request.Host = "a.example"
+		request.Header.Set("Authorization", "Token "+key)
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		return recorder.Result()
+	}
+	// Each request is sent while all earlier ones are in flight, until the servers are full.
+	var refused *http.Response
+	h.sender.before = func() {
+		if refused != nil {
+			return
+		}
+		if answer := sendAs("ka"); refused == nil {
+			refused = answer
+		}
+	}
+	sendAs("kc")
+	h.c.Assert(refused.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	h.c.Assert(refused.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	h.c.Check(h.log.String(), qt.Contains, `"beyond-share":true`)
+	h.c.Check(h.log.String(), qt.Contains, `"rank":0`)
+}
