dispatch: counts of requests do not decay twice

Cause: a cancelled choice is taken back at the time at which it was made, which set the time of the count back. Tested: go test -run 'OneRankStay|AQuarter|InOrderOfRank' ./dispatch

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -44,7 +44,9 @@
 
 func (c *recentCount) add(n float64, now time.Time) {
 	c.count = max(0, c.value(now)+n)
-	c.at = now
+	if now.After(c.at) {
+		c.at = now
+	}
 }
 
 func (c *recentCount) value(now time.Time) float64 {
