--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -30,6 +30,8 @@
 	CauseBackpressure = "backpressure"
 	CauseDeadline     = "deadline"
 	CauseOverload     = "overload"
+	// CauseReserved means that the object's home has room, but only for more urgent requests.
+	CauseReserved = "reserved"
 )
 
 // Rules by which a server is selected, as used in metrics and logs.
@@ -54,6 +56,9 @@
 	if s == nil {
 		return t.refuse(r, nil, CauseUnknownService, "no server of the service is known")
 	}
+	if s.isCounted(r) {
+		r.standing = s.admission.record(r, t.workEstimate(r.Route).mean)
+	}
 	object := r.objectHash()
 	best, why := t.pick(r, s, object)
 	if !best.isFound() {
@@ -147,6 +152,10 @@
 	if cold {
 		b.cold.record(r.Now)
 	}
+	counted := s.isCounted(r)
+	if counted {
+		s.admission.accept(r.priority(), r.Account, 1, r.Now)
+	}
 	return Choice{
 		Server:   b.BackendServer,
 		Expected: c.cost,
@@ -162,6 +171,9 @@
 		route:    r.Route,
 		work:     c.work,
 		sentAt:   r.Now,
+		counted:  counted,
+		priority: r.priority(),
+		account:  r.Account,
 	}
 }
 
@@ -171,21 +183,26 @@
 	if s != nil {
 		mean = s.work.mean
 	}
-	return Choice{Refused: true, Cause: cause, Reason: reason, RetryAfter: t.retryAfter(r, mean)}
+	return Choice{Refused: true, Cause: cause, Reason: reason, RetryAfter: t.retryAfter(r, mean), BeyondShare: r.standing.beyondShare}
 }
 
 // refuseAtHome refuses a request for an object whose home is full or busy. Its client should retry once the home
 // has finished the requests that it has now.
 func (t *Table) refuseAtHome(r Request, s *service, object uint64, why refusal) Choice {
 	load := why.home.estimatedLoad(r.Now)
+	drained := s.queueWait(int(load), why.home.slots)
+	if s.isCounted(r) {
+		drained = s.admission.retryAfter(r, drained)
+	}
 	return Choice{
-		Refused:    true,
-		Cause:      why.cause,
-		Reason:     why.reason,
-		RetryAfter: t.retryAfter(r, s.queueWait(int(load), why.home.slots)),
-		Object:     object,
-		Server:     why.home.BackendServer,
-		Load:       load,
+		Refused:     true,
+		Cause:       why.cause,
+		Reason:      why.reason,
+		RetryAfter:  t.retryAfter(r, drained),
+		Object:      object,
+		BeyondShare: r.standing.beyondShare,
+		Server:      why.home.BackendServer,
+		Load:        load,
 	}
 }
 
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -94,11 +94,11 @@
 func (t *Table) estimateAtLoad(r Request, s *service, b *server, load float64) candidate {
 	b.decay(r.Now)
 	maxLoad := maxLoadOther
-	if r.Rank <= s.fullQueueRank {
+	if r.Rank <= s.fullQueueRank || r.standing.belowFloor {
 		maxLoad = maxLoadUrgent
 	}
 	slots := float64(b.slots)
-	if load+1 > maxLoad*slots {
+	if load+1 > maxLoad*slots || !t.leavesGoals(r, s, b, load) {
 		return candidate{}
 	}
 	c := candidate{server: b, load: load, local: b.Region == t.settings.Region}
--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -52,6 +52,9 @@
 		return candidate{}, refusedNoServer
 	}
 	best, why := t.pickHomeOrAlternate(r, s, object, h)
+	if !best.isFound() {
+		best, why = t.pickFreeSlot(r, s, object, h, why)
+	}
 	best.home = h.first
 	return best, why
 }
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -94,9 +94,10 @@
 }
 
 // admits reports whether a request is accepted that would wait, given the longest wait of accepted requests.
-// objectRank, from 0 to 1, is the object's place in the order in which objects are accepted.
-func (o *overload) admits(wait, limit time.Duration, objectRank float64, now time.Time) bool {
-	accepted := objectRank < shedSlope*(1-float64(wait)/float64(limit))
+// rank, from 0 to 1, is the request's place in the order in which requests are accepted: that of its object, or of
+// its priority, account and object where these differ.
+func (o *overload) admits(wait, limit time.Duration, rank float64, now time.Time) bool {
+	accepted := rank < shedSlope*(1-float64(wait)/float64(limit))
 	o.shed.update(!accepted, 1, now)
 	return accepted
 }
@@ -132,7 +133,12 @@
 
 // maxWait returns the longest wait with which a request at a distance meets the service's goal.
 func (s *service) maxWait(distance time.Duration) time.Duration {
-	return max(time.Duration(minWaitShare*float64(s.goal)), s.goal-s.work.mean-distance)
+	return longestWait(s.goal, s.work.mean, distance)
+}
+
+// longestWait returns the longest wait that a request may have for its goal, given its work and its distance.
+func longestWait(goal, work, distance time.Duration) time.Duration {
+	return max(time.Duration(minWaitShare*float64(goal)), goal-work-distance)
 }
 
 // reportLoad applies a server's load report to the overload of its service.
@@ -148,11 +154,17 @@
 	c := t.pickHome(r, s, object, h, t.estimateAtAgedLoad)
 	limit := s.maxWait(t.largestDistance())
 	if !c.isFound() {
-		s.overload.admits(limit, limit, objectRank(object), r.Now)
+		if !t.isReserved(r, s, h.first) {
+			s.overload.admits(limit, limit, objectRank(object), r.Now)
+		}
 		return candidate{}, refusal{cause: CauseHomeFull, reason: "the service is overloaded, and the object's home is full", home: h.first}
 	}
 	wait := c.wait - s.queueWait(1, c.server.slots)
-	if !s.overload.admits(max(0, wait), limit, objectRank(object), r.Now) {
+	rank := objectRank(object)
+	if s.isCounted(r) {
+		rank = s.admission.position(r.priority(), r.standing, rank, r.Now)
+	}
+	if !s.overload.admits(max(0, wait), limit, rank, r.Now) && !r.standing.belowFloor {
 		return candidate{}, refusal{cause: CauseOverload, reason: "the service is overloaded, and the object's home is busy", home: h.first}
 	}
 	return c, refusal{}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -42,10 +42,15 @@
 	HashOverride uint64
 	// Rank is the priority of the request under overload; 0 is the highest.
 	Rank int
+	// Account names the client account that sends the request, or is "".
+	Account string
 	// Regions are the regions in which the request may run; empty means all.
 	Regions []string
 	// Tried names the servers that earlier attempts were sent to.
 	Tried []string
+
+	// standing is set by Choose.
+	standing standing
 }
 
 // Choice is the result for a Request: either a server or a refusal.
@@ -73,6 +78,8 @@
 	Object uint64
 	// Refused means that no server was selected.
 	Refused bool
+	// BeyondShare means that the request was refused while its account got more than its fair share.
+	BeyondShare bool
 	// RetryAfter is the delay after which a refused client should retry.
 	RetryAfter time.Duration
 
@@ -81,6 +88,10 @@
 	route   *lovageyard.Route
 	work    time.Duration
 	sentAt  time.Time
+	// counted means that the choice is counted as accepted for the priority and the account.
+	counted  bool
+	priority priority
+	account  string
 }
 
 // Outcome is the result of an attempt at a chosen server.
@@ -127,6 +138,11 @@
 	objects        objectCount
 	// fullQueueRank is the rank up to which requests may fill the queues.
 	fullQueueRank int
+	// ordered means that requests are accepted by priority and account while servers are full; see priority.go.
+	ordered bool
+	// protected holds the more urgent routes of each priority; see setPriorities.
+	protected map[priority][]protectedRoute
+	admission admission
 }
 
 // raiseInitialMean raises the initial estimate to a route's estimate, until an answer was measured:
@@ -261,6 +277,9 @@
 			}
 		}
 	}
+	for name, s := range t.services {
+		t.setPriorities(name, s, c)
+	}
 }
 
 func (t *Table) setServer(listed catalog.Server, now time.Time) {
@@ -309,6 +328,7 @@
 	defer t.mu.Unlock()
 	c.server.inFlight--
 	t.reachabilityOf(c.Server.FailureDomain).inFlight--
+	c.withdraw(c.sentAt)
 }
 
 // Done applies the outcome of an attempt at a chosen server. It must be called once for each choice
@@ -321,6 +341,9 @@
 	s.decay(o.At)
 	domain := t.reachabilityOf(c.Server.FailureDomain)
 	domain.inFlight--
+	if o.NotRun {
+		c.withdraw(o.At)
+	}
 	if o.DialTime > 0 {
 		t.updateDistance(s.FailureDomain, o.DialTime)
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,6 +47,7 @@
 	choice := x.choose()
 	if choice.Refused {
 		x.refused = choice
+		x.countRefusal(choice)
 		x.refuse(choice.Cause, choice.Reason, choice.RetryAfter, nil)
 		return
 	}
@@ -75,6 +77,14 @@
 	}
 }
 
+// countRefusal updates the metrics for a request that no server was selected for.
+func (x *exchange) countRefusal(choice dispatch.Choice) {
+	x.handler.Metrics.Count(meter.RankRefusals, x.label(), strconv.Itoa(x.caller.rank(x.route)))
+	if choice.BeyondShare {
+		x.handler.Metrics.Count(meter.ShareRefusals, x.label())
+	}
+}
+
 // admitRetry reports whether a retry may go to the chosen server. It cancels the choice if not.
 func (x *exchange) admitRetry(choice dispatch.Choice) bool {
 	if choice.Refused {
@@ -119,6 +129,7 @@
 		Key:      x.meta.Key,
 		Deadline: x.deadline,
 		Rank:     x.caller.rank(x.route),
+		Account:  x.caller.name(),
 		Regions:  x.regions,
 		Tried:    x.tried,
 	}
