dispatch, entry: only requests with large bodies leave queues to urgent ones

Cause: the queue rule applied to all requests of a service with several priorities.

Change: the queue rule applies to routes with large bodies. A request that it refuses first waits at the instance, where it delays nobody, up to 0.35 of its goal, and is offered to servers again.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -102,7 +102,8 @@
 	return s.ordered && (s.protected != nil || r.Account != "")
 }
 
-// record counts a request and returns its standing. Further attempts of a request are not counted again.
+// record counts a request and returns its standing. Further attempts of a request, or a choice
+// after it has waited, are not counted again.
 func (a *admission) record(r Request, work time.Duration) standing {
 	a.sweep(r.Now)
 	level, account := a.level(r.priority()), a.account(r.Account)
@@ -118,7 +119,7 @@
 	if room < scarceShare {
 		result.maxLoad = 1 + (maxLoadOther-1)*room
 	}
-	if len(r.Tried) > 0 {
+	if len(r.Tried) > 0 || r.Waited {
 		return result
 	}
 	a.all.requested.add(1, r.Now)
--- a/dispatch/priority.go
+++ b/dispatch/priority.go
@@ -12,7 +12,8 @@
 // but they decide what enters it: a less urgent request enters a queue only if the next urgent one that arrives
 // there is still answered within its goal. Free slots are open to all requests.
 //
-// This applies to configurations that have routes with large bodies, whose requests occupy slots and queues for long.
+// This applies to requests of routes with large bodies, which occupy slots and queues for long. Others are more useful
+// in a queue at their home, where their objects are cached, than at another server.
 
 // priority is the urgency of a request: by the rank of its client account, then by that of its route. Without an
 // account, both are the route's rank.
@@ -97,7 +98,7 @@
 	if r.standing.maxLoad > 0 && load+1 > r.standing.maxLoad*slots {
 		return false
 	}
-	if s.protected == nil {
+	if s.protected == nil || !r.Route.HasLargeBodies() {
 		return true
 	}
 	wait := time.Duration((load + 2 - slots) / slots * float64(s.work.mean))
@@ -109,12 +110,11 @@
 	return true
 }
 
-// pickFreeSlot is used for a request of a service with several priorities that its home and its alternate server
-// refuse. It returns an alternate server with a free slot, in any region or in the home's, or the reason for the
-// refusal: an uncached run costs less than a slot that stays idle and a client that returns. In an overload there are
+// pickFreeSlot is used for a request of a route with large bodies that its home and its alternate server refuse, if its
+// service has several priorities. It returns another server with a free slot, or the reason for the refusal: an uncached run costs less than a slot that stays idle and a client that returns. In an overload there are
 // no alternates.
 func (t *Table) pickFreeSlot(r Request, s *service, object uint64, h homes, why refusal) (candidate, refusal) {
-	if s.protected == nil {
+	if s.protected == nil || !r.Route.HasLargeBodies() {
 		return candidate{}, why
 	}
 	if s.overload.active {
--- a/dispatch/ranking.go
+++ b/dispatch/ranking.go
@@ -88,7 +88,7 @@
 	if math.Pow(local.unitScore(), 1/t.ownRegionWeightFor(r, s)) < remote.unitScore() {
 		return remote.server
 	}
-	if r.Route.LargeRequests || r.Route.LargeResponses {
+	if r.Route.HasLargeBodies() {
 		return t.highestNearby(r, s, object, excluded, admits)
 	}
 	return local.server
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -48,6 +48,8 @@
 	Regions []string
 	// Tried names the servers that earlier attempts were sent to.
 	Tried []string
+	// Waited means that the request was refused before, and has waited since for a server to have room.
+	Waited bool
 
 	// standing is set by Choose.
 	standing standing
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -29,6 +29,9 @@
 	// answerGrace is how long after a route's timeout an answer may still arrive, if the server had it ready
 	// in time; operators tolerate a quarter of a second.
 	answerGrace = 170 * time.Millisecond
+	// maxWaitShare is the part of a route's goal for which a request waits for a slot; the rest is for its work, which
+	// is uncached at worst.
+	maxWaitShare = 0.35
 	// maxBrokenConnections is the number of lost connections after which a request is not sent to another
 	// server. A harmless request is rarely in flight at two crashes; one that crashes servers would crash the
 	// next one as well, and fail every request in flight there.
@@ -44,7 +47,7 @@
 	ctx, cancel := x.context()
 	defer cancel()
 	x.service = x.handler.Dispatch.AssignService(x.route, x.handler.Timer.Now())
-	choice := x.choose()
+	choice := x.awaitSlot(ctx, x.choose())
 	if choice.Refused {
 		x.refused = choice
 		x.countRefusal(choice)
@@ -77,6 +80,27 @@
 	}
 }
 
+// awaitSlot waits for a slot while servers have room for more urgent requests only. They can't reorder their queues, so
+// that the request waits here, where it delays nobody, up to a part of its goal.
+func (x *exchange) awaitSlot(ctx context.Context, choice dispatch.Choice) dispatch.Choice {
+	until := x.began.Add(time.Duration(maxWaitShare * float64(x.route.Goal)))
+	for choice.Cause == dispatch.CauseReserved && !x.handler.Timer.Now().Add(choice.RetryAfter).After(until) {
+		x.waited = true
+		x.handler.Metrics.Count(meter.SlotWaits, x.label())
+		after := x.handler.Timer.After(choice.RetryAfter)
+		select {
+		case <-after.C():
+		case <-ctx.Done():
+		}
+		after.Close()
+		if ctx.Err() != nil {
+			return choice
+		}
+		choice = x.choose()
+	}
+	return choice
+}
+
 // countRefusal updates the metrics for a request that no server was selected for.
 func (x *exchange) countRefusal(choice dispatch.Choice) {
 	x.handler.Metrics.Count(meter.RankRefusals, x.label(), strconv.Itoa(x.caller.rank(x.route)))
@@ -132,6 +156,7 @@
 		Account:  x.caller.name(),
 		Regions:  x.regions,
 		Tried:    x.tried,
+		Waited:   x.waited,
 	}
 	if x.brokenConnections > 0 || x.evaluate().Suspect {
 		// Requests that were in flight on a crashed server are often for one object. They are sent to
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -127,6 +127,8 @@
 	tried          []string
 	// brokenConnections counts the attempts whose connection was lost.
 	brokenConnections int
+	// waited means that the request has waited for a slot; see awaitSlot.
+	waited bool
 	// cause is the reason of a refusal for metrics and logs, or "".
 	cause string
 	// refused is the choice by which the first attempt was refused, or the zero Choice.
--- a/entry/log.go
+++ b/entry/log.go
@@ -58,6 +58,9 @@
 		fields["memory-held-large"] = stats.Large
 		fields["memory-budget"] = stats.Limit
 	}
+	if x.waited {
+		fields["waited-for-slot"] = true
+	}
 	if x.refused.BeyondShare {
 		fields["beyond-share"] = true
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -41,6 +41,7 @@
 	MemoryWaiting        = Metric{"memory-waiting", Gauge, nil, "answers of servers that wait to be read until memory is free"}
 	RankRefusals         = Metric{"refusals-by-rank", Counter, []string{"service", "rank"}, "requests for which no server was selected, by the rank of the account, or of the route if there is none"}
 	ShareRefusals        = Metric{"refusals-beyond-share", Counter, []string{"service"}, "requests among these whose accounts get more than their fair share of the service"}
+	SlotWaits            = Metric{"slot-waits", Counter, []string{"service"}, "times that a request with a large body waited at this instance for a slot that is kept for more urgent ones"}
 	Overloaded           = Metric{"overloaded", Gauge, []string{"service"}, "1 while the queues of most servers of the service stand, so that requests are refused in the order of rank, account and object"}
 	Latency              = Metric{"latency", Histogram, []string{"service"}, "milliseconds from a request's arrival to a server's answer"}
 	ExpectedWait         = Metric{"expected-wait", Histogram, []string{"service"}, "milliseconds that a request was expected to wait for a slot as it was sent"}
@@ -93,7 +94,7 @@
 // All returns all metrics in the order of the reference page.
 func All() []Metric {
 	return []Metric{
-		Answers, Refusals, RankRefusals, ShareRefusals, Overloaded, RequestsAhead, SlowBodies, MemoryBudget, MemoryHeld, MemoryHeldLarge, MemoryWaiting, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, InFlight,
+		Answers, Refusals, RankRefusals, ShareRefusals, SlotWaits, Overloaded, RequestsAhead, SlowBodies, MemoryBudget, MemoryHeld, MemoryHeldLarge, MemoryWaiting, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, InFlight,
 		ServersKnown, ServersSuspect, ServersLimited, ServersLeaving, ServersBackingOff, ServersCrashed, RequestsQuarantined, ConnectionsOpened, PathLost, Detours, ConfigurationVersion, ConfigurationAge, ConfirmationAge, ContactAge,
 		LimitReports, AccountsNearLimit, InstancesLive, Utilisation, LookUps, RegionUtilisation,
 		ChangeAge, PlatformReads, PlatformFailures, HistoryLost, OutdatedReads, PlatformRestores, RowsSkipped, PlatformWrites, PeerExchanges, PeerFailures,
--- a/steering.go
+++ b/steering.go
@@ -65,9 +65,14 @@
 	MaxBodyBytes int64
 }
 
+// HasLargeBodies reports whether the bodies of requests or of responses are large.
+func (r *Route) HasLargeBodies() bool {
+	return r.LargeRequests || r.LargeResponses
+}
+
 // HasLargeBodies reports whether a route has large requests or responses.
 func (c *Configuration) HasLargeBodies() bool {
-	return slices.ContainsFunc(c.Routes, func(r Route) bool { return r.LargeRequests || r.LargeResponses })
+	return slices.ContainsFunc(c.Routes, func(r Route) bool { return r.HasLargeBodies() })
 }
 
 // Internal names of the tables that entry instances use in edge mode.
