--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -147,12 +147,17 @@
 	if cold {
 		b.cold.record(r.Now)
 	}
+	pace := 0.0
+	if b.pace.isKnown() {
+		pace = b.pace.at(r.Now)
+	}
 	return Choice{
 		Server:   b.BackendServer,
 		Expected: c.cost,
 		Wait:     c.wait,
 		Load:     c.load,
 		LoadAge:  b.reportAge(r.Now),
+		Pace:     pace,
 		Reason:   c.reason,
 		Rule:     rule,
 		Cold:     cold,
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -6,7 +6,8 @@
 // the servers and know each other's requests only from the load reports in responses.
 //
 // Requests that concern an object are sent to one home server, which is determined by rendezvous
-// hashing, or to one alternate server while the home is full or very slow (home.go). Other requests
+// hashing, or to one alternate server while the home is full or very slow (home.go). Where servers share
+// their machines with other workloads, objects have a second home (second.go). Other requests
 // are sent to the server with the least expected completion time, which depends on network distance,
 // queueing, work, speed and recent failures. The share of requests that leaves the region follows
 // that estimate slowly (region.go, spillover.go). Requests wait in the queues of the servers, so that
--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -14,7 +14,8 @@
 // all instances agree on it without communication, and it does not depend on load. The servers of
 // the requesting region have a higher weight, which saves traffic between regions, but not so high
 // that each region has to carry its own peak alone. A region with more servers than its share of the
-// requests has room for its own peak, and keeps more of its requests.
+// requests has room for its own peak, and keeps more of its requests. On shared machines, objects have a
+// second home (second.go).
 
 const (
 	// ownRegionWeight is the weight of a server in the requesting region relative to one elsewhere, if
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -14,6 +14,8 @@
 	paceDecay = 600 * time.Millisecond
 	// Bounds of a reported pace.
 	minPace, maxPace = 0.5, 12
+	// slowPace is the pace from which on a machine counts as slow in metrics.
+	slowPace = 1.5
 )
 
 // pace is the latest pace that a server has reported.
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -15,21 +15,32 @@
 	BackingOff int
 	// RemoteShares is the share of the region's requests that runs in other regions, by service.
 	RemoteShares map[string]float64
+	// SecondHomeShares is the share of the objects that have a second home, by service. Services whose
+	// servers are not on shared machines are left out.
+	SecondHomeShares map[string]float64
+	// Slow counts the servers whose machine is slowed down by other workloads.
+	Slow int
 }
 
 // Stats returns the counts at a time. It is safe for concurrent use.
 func (t *Table) Stats(now time.Time) Stats {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := Stats{RemoteShares: make(map[string]float64)}
+	c := Stats{RemoteShares: make(map[string]float64), SecondHomeShares: make(map[string]float64)}
 	for name, s := range t.services {
 		if s.spillover != nil {
 			c.RemoteShares[name] = s.spillover.share
 		}
+		if s.sharesMachines {
+			c.SecondHomeShares[name] = s.objects.secondShare
+		}
 	}
 	for _, b := range t.servers {
 		c.Servers++
 		c.InFlight += b.inFlight
+		if b.pace.at(now) >= slowPace {
+			c.Slow++
+		}
 		if b.isSuspect(now) {
 			c.Suspects++
 		}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -61,6 +61,9 @@
 	// that it is based on.
 	Load    float64
 	LoadAge time.Duration
+	// Pace is the expected execution time at the server's machine in multiples of the usual one, by its
+	// reports, or 0 if it reports none.
+	Pace float64
 	// Reason explains the choice or the refusal in words.
 	Reason string
 	// Rule is one of the Rule constants, or "" if the request was refused.
--- a/entry/log.go
+++ b/entry/log.go
@@ -73,6 +73,9 @@
 	fields["wait-ms"] = a.choice.Wait.Milliseconds()
 	fields["load"] = a.choice.Load
 	fields["load-age-ms"] = a.choice.LoadAge.Milliseconds()
+	if a.choice.Pace > 0 {
+		fields["pace"] = a.choice.Pace
+	}
 	fields["verdict"] = string(a.verdict())
 	if a.err != nil {
 		fields["fingerprint"] = quarantine.Format(x.fingerprint)
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -353,6 +353,10 @@
 	for service, share := range stats.RemoteShares {
 		e.meters.Update(meter.ShareElsewhere, int64(1000*share), service)
 	}
+	for service, share := range stats.SecondHomeShares {
+		e.meters.Update(meter.SecondHomeShare, int64(1000*share), service)
+	}
+	e.meters.Update(meter.ServersSlow, int64(stats.Slow))
 }
 
 // ageMillis returns an age in milliseconds, or -1 if it is freshness.Unknown.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -36,12 +36,14 @@
 	Latency              = Metric{"latency", Histogram, []string{"service"}, "milliseconds from a request's arrival to a server's answer"}
 	ExpectedWait         = Metric{"expected-wait", Histogram, []string{"service"}, "milliseconds that a request was expected to wait for a slot as it was sent"}
 	Sends                = Metric{"sends", Counter, []string{"service", "failure-domain"}, "attempts sent to servers"}
-	Placements           = Metric{"placements", Counter, []string{"region", "rule"}, "attempts sent to servers, by the servers' region and the rule that selected them: home, alternate, least-cost or retry"}
+	Placements           = Metric{"placements", Counter, []string{"region", "rule"}, "attempts sent to servers, by the servers' region and the rule that selected them: home, second-home, alternate, least-cost or retry"}
 	RegionShare          = Metric{"region-share", Gauge, []string{"region"}, "thousandths of this instance's attempts that were sent to the region in its last window with attempts"}
 	RegionShareChange    = Metric{"region-share-change", Gauge, nil, "thousandths of this instance's attempts that were sent to another region than in the window before"}
 	Retries              = Metric{"repeats", Counter, []string{"service"}, "attempts after the first of a request"}
 	RetriesDenied        = Metric{"repeats-denied", Counter, []string{"service"}, "repeats that the shared budget did not allow"}
 	ColdSends            = Metric{"cold-sends", Counter, []string{"service"}, "attempts sent to servers that are cold"}
+	SecondHomeShare      = Metric{"second-home-share", Gauge, []string{"service"}, "thousandths of the service's objects that have a second home, as its servers are on shared machines"}
+	ServersSlow          = Metric{"servers-slow", Gauge, nil, "backend servers whose machine is slowed down by other workloads, by their latest reports"}
 	ShareElsewhere       = Metric{"share-elsewhere", Gauge, []string{"service"}, "thousandths of the region's requests that run in other regions"}
 	InFlight             = Metric{"requests-in-flight", Gauge, nil, "attempts at servers"}
 	ServersKnown         = Metric{"servers-known", Gauge, nil, "backend servers that are registered"}
@@ -81,7 +83,7 @@
 // All returns all metrics in the order of the reference page.
 func All() []Metric {
 	return []Metric{
-		Answers, Refusals, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, InFlight,
+		Answers, Refusals, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, SecondHomeShare, ServersSlow, InFlight,
 		ServersKnown, ServersSuspect, ServersLimited, ServersLeaving, ServersBackingOff, ServersCrashed, RequestsQuarantined, ConnectionsOpened, PathLost, Detours, ConfigurationVersion, ConfigurationAge, ConfirmationAge, ContactAge,
 		LimitReports, AccountsNearLimit, InstancesLive,
 		ChangeAge, PlatformReads, PlatformFailures, HistoryLost, OutdatedReads, PlatformRestores, RowsSkipped, PlatformWrites, PeerExchanges, PeerFailures,
