--- a/dispatch/second.go
+++ b/dispatch/second.go
@@ -19,7 +19,7 @@
 
 // homes returns the servers at which the object is cached and that may get the request.
 func (t *Table) homes(r Request, s *service, object uint64) homes {
-	if s.sharesMachines {
+	if s.sharesMachines && len(r.Tried) == 0 {
 		t.countObject(s, object, r.Now)
 	}
 	if !s.hasSecondHome(object) {
