pipeline: a full buffer before the handler begins starts no wrong request

If a client filled the 16 KB buffer before the handler of its first request had begun, the first held byte was handed out, and the look-ahead then parsed the rest from its second byte. The background read now waits for the handler.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -30,6 +30,12 @@
 	phaseServing
 )
 
+func newConn(accepted net.Conn, p *Pipeline) *conn {
+	c := &conn{Conn: accepted, pipeline: p}
+	c.changed.L = &c.mu
+	return c
+}
+
 // conn is a connection that separates the requests that net/http reads from those behind them.
 // net/http never calls Read concurrently. Read owns the bytes of held up to its capacity; begin only reads
 // those up to its length.
@@ -39,6 +45,8 @@
 
 	mu    sync.Mutex
 	phase phase
+	// changed wakes a background read that waits for the handler to begin.
+	changed sync.Cond
 	// passThrough is set when the boundaries of requests are not known; the connection is then left to
 	// net/http.
 	passThrough bool
@@ -105,6 +113,12 @@
 			return c.Read(p)
 		}
 		c.lookAhead()
+		if len(c.held) >= maxHeldBytes && c.phase == phaseHanded && !c.closed {
+			// The first of these bytes must not be handed out before lookAhead has seen it.
+			c.changed.Wait()
+			c.mu.Unlock()
+			continue
+		}
 		if len(c.held) >= maxHeldBytes {
 			defer c.mu.Unlock()
 			// The head that begins with this byte can no longer be parsed.
@@ -201,6 +215,7 @@
 		// net/http responds without calling the handler, for example to "OPTIONS *"; whether the request
 		// has a body is not known.
 		c.passThrough = true
+		c.changed.Broadcast()
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
@@ -229,6 +244,7 @@
 func (c *conn) SetDeadline(t time.Time) error {
 	c.mu.Lock()
 	c.passThrough = true
+	c.changed.Broadcast()
 	c.mu.Unlock()
 	return c.Conn.SetDeadline(t)
 }
@@ -237,6 +253,7 @@
 func (c *conn) Close() error {
 	c.mu.Lock()
 	c.closed = true
+	c.changed.Broadcast()
 	c.cancelFrom(0)
 	c.mu.Unlock()
 	return c.Conn.Close()
@@ -249,6 +266,7 @@
 		return
 	}
 	c.closed = true
+	c.changed.Broadcast()
 	c.cancelFrom(0)
 }
 
@@ -282,6 +300,7 @@
 		c.parsed = 0
 		c.blocked = r.Close || !allowsAhead(r)
 	}
+	c.changed.Broadcast()
 	c.lookAhead()
 	return first
 }
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -112,5 +112,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: accepted, pipeline: l.pipeline}, nil
+	return newConn(accepted, l.pipeline), nil
 }
