--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -119,6 +119,8 @@
 	address string
 	// path replaces sender if it is not nil.
 	path entry.Sender
+	// urgent is a further route that setRoute adds if it is not nil.
+	urgent *lovageyard.Route
 	// live makes the handler use the current view instead of the one at its creation.
 	live bool
 	// memory and minBodyRate are the settings of the same names.
@@ -184,16 +186,19 @@
 func (h *harness) setRoute(r lovageyard.Route) {
 	h.route = r
 	routes := make(map[string]any)
-	add := func(name, prefix string) {
+	add := func(name, prefix string, r lovageyard.Route) {
 		routes[name] = map[string]any{
 			"Host": r.Host, "Prefix": prefix, "Kind": kindOf(r),
 			"TimeoutMs": r.Timeout.Milliseconds(), "GoalMs": r.Goal.Milliseconds(), "Attempts": r.Attempts, "Sticky": r.Sticky, "Service": "desk",
-			"HomeRegions": r.HomeRegions, "NoAuth": r.Open,
+			"HomeRegions": r.HomeRegions, "NoAuth": r.Open, "Priority": r.Rank,
 		}
 	}
-	add(r.Name, r.Prefix)
+	add(r.Name, r.Prefix, r)
 	for name, prefix := range h.further {
-		add(name, prefix)
+		add(name, prefix, r)
+	}
+	if h.urgent != nil {
+		add(h.urgent.Name, h.urgent.Prefix, *h.urgent)
 	}
 	value, err := json.Marshal(map[string]any{
 		"Version":  "00000001",
