entry: a server that refuses with free slots is tried again

Change: such a refusal does not exclude the server from the next attempt. The choice then weighs its failure rate against an uncached run elsewhere, as for any request. Attempts are counted apart from the servers excluded.

The test failed before in its first case.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -47,11 +47,9 @@
 	x.refuse(causeServer, a.reason(), max(immediateRetry, a.expectedDelay(), x.retryAfter), a)
 }
 
-// expectedDelay returns the time after which the server that refused the request is likely to accept it. A server
-// that reports free slots does not refuse for lack of room, so that waiting does not help.
+// expectedDelay returns the time after which the server that refused the request is likely to accept it.
 func (a *attempt) expectedDelay() time.Duration {
-	load := a.answer.Meta.Load
-	if a.answer.Meta.Reported && load.InFlight+load.Queued < load.Slots {
+	if a.refusedWithFreeSlots() {
 		return 0
 	}
 	return a.choice.Expected / 2
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -60,3 +60,15 @@
 	}
 	return "the server answered " + strconv.Itoa(a.answer.Status)
 }
+
+// refusedWithFreeSlots reports whether the server refused the request for another reason than a lack of room, such as
+// a fault that affects part of its requests. Unless it refuses more than others, it is as likely as they are to accept
+// the next attempt, and has the request's object cached.
+func (a *attempt) refusedWithFreeSlots() bool {
+	if a.answer == nil || !a.answer.Meta.NotRun || !a.answer.Meta.Reported || a.answer.Meta.Misdirected {
+		return false
+	}
+	requested := a.answer.Meta.Backpressure
+	load := a.answer.Meta.Load
+	return requested.Backoff == 0 && !requested.Leaving && load.InFlight+load.Queued < load.Slots
+}
--- a/entry/backpressure_test.go
+++ b/entry/backpressure_test.go
@@ -88,3 +88,21 @@
 		h.c.Check(response.Header.Get("Retry-After") == "0.050", qt.Equals, test.atOnce, qt.Commentf("%d queued", test.queued))
 	}
 }
+
+// A retry at another server runs uncached and is late. If a server with free slots refuses a request, as all servers of
+// a faulty release may at times, the retry must go to the object's home again; if it is full, to another server.
+func TestRetryGoesToServerWithFreeSlotsAgain(t *testing.T) {
+	for _, queued := range []int{0, 3} {
+		refusal := notRun(http.StatusServiceUnavailable)
+		refusal.answer.Meta.Reported = true
+		refusal.answer.Meta.Load = lovageyard.LoadReport{Slots: 4, InFlight: 1 + queued, Queued: queued}
+		h := newHarness(t, refusal, success(http.StatusOK))
+		h.key = "k"
+		h.setRoute(lovageyard.Route{
+			Name: "r", Host: "a.example", Prefix: "/x/", Sticky: true, Goal: 2 * time.Second, Timeout: 8 * time.Second, Attempts: 2,
+		})
+		h.c.Assert(h.send(http.MethodPost, "/x/", "b").StatusCode, qt.Equals, http.StatusOK)
+		h.c.Assert(h.sender.sent, qt.HasLen, 2)
+		h.c.Check(h.sender.sent[0].Server == h.sender.sent[1].Server, qt.Equals, queued == 0, qt.Commentf("%d queued", queued))
+	}
+}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -168,7 +168,7 @@
 
 // try makes one attempt and reports its outcome to the dispatch table.
 func (x *exchange) try(ctx context.Context, choice dispatch.Choice) *attempt {
-	x.tried = append(x.tried, choice.Server.Name)
+	x.attempts++
 	x.recordSend(choice)
 	began := x.handler.Timer.Now()
 	a := &attempt{choice: choice, sentAt: began}
@@ -188,6 +188,9 @@
 	if a.isForwardable() {
 		x.failedAttempt = a
 	}
+	if !a.refusedWithFreeSlots() {
+		x.tried = append(x.tried, choice.Server.Name)
+	}
 	if a.answer != nil && (a.answer.Meta.Misdirected || a.answer.Meta.Backpressure.Leaving) {
 		x.handler.Sender.Forget(choice.Server.Name)
 	}
@@ -276,7 +279,7 @@
 
 // mayRetry reports whether the request may be sent to another server.
 func (x *exchange) mayRetry(ctx context.Context, a *attempt) bool {
-	if ctx.Err() != nil || x.request.Context().Err() != nil || len(x.tried) >= x.route.Attempts {
+	if ctx.Err() != nil || x.request.Context().Err() != nil || x.attempts >= x.route.Attempts {
 		return false
 	}
 	if a.err != nil && errors.Is(a.err, footprint.ErrTooLarge) {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -124,7 +124,9 @@
 	// deadline is when a server has to be done, and answerDeadline when this instance stops waiting for its answer.
 	deadline       time.Time
 	answerDeadline time.Time
-	tried          []string
+	// tried names the servers that are not selected again, and attempts counts all attempts.
+	tried    []string
+	attempts int
 	// brokenConnections counts the attempts whose connection was lost.
 	brokenConnections int
 	// waited means that the request has waited for a slot; see awaitSlot.
--- a/entry/log.go
+++ b/entry/log.go
@@ -19,7 +19,7 @@
 		"request-id":          x.meta.ID,
 		decision.FieldOutcome: outcome,
 		"reason":              reason,
-		"attempts":            len(x.tried),
+		"attempts":            x.attempts,
 		"version":             x.view.Version(),
 		"elapsed-ms":          x.handler.Timer.Now().Sub(x.began).Milliseconds(),
 	}
