dispatch: urgent requests of distant regions count again for queues

Reverts the change of what large bodies leave in queues (the distance within a region for tight goals, and a wait of half of the goal).

--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -38,15 +38,6 @@
 	return goalOrDefault(goal) < tightGoalRoundTrips*t.largestDistance()
 }
 
-// callerDistance returns the round-trip time that requests with a goal take to their home: that of the most distant
-// failure domain, but for tight goals that within a region, where most of their homes are.
-func (t *Table) callerDistance(goal time.Duration) time.Duration {
-	if t.isTight(goal) {
-		return ownRegionDistance
-	}
-	return t.largestDistance()
-}
-
 // highestNearby returns the highest ranked server of the own region for an object with large bodies, among those that
 // the filter admits, other than the excluded homes. There must be one. The order is independent of the one by which
 // the region was selected, so that it does not change how many objects have their home in the region.
--- a/dispatch/priority.go
+++ b/dispatch/priority.go
@@ -89,7 +89,7 @@
 }
 
 // leavesGoals reports whether more urgent requests still meet their goals at a server with a number of requests if
-// another request is sent there.
+// another request is sent there. The goal of requests from the most distant region counts, as with overloads.
 func (t *Table) leavesGoals(r Request, s *service, b *server, load float64) bool {
 	slots := float64(b.slots)
 	if load+1 <= slots || r.standing.belowFloor {
@@ -103,7 +103,7 @@
 	}
 	wait := time.Duration((load + 2 - slots) / slots * float64(s.work.mean))
 	for _, p := range s.protected[r.priority().forQueue(s)] {
-		if wait > longestWait(p.goal, p.work.mean, t.callerDistance(p.goal)) {
+		if wait > longestWait(p.goal, p.work.mean, t.largestDistance()) {
 			return false
 		}
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -29,8 +29,9 @@
 	// answerGrace is how long after a route's timeout an answer may still arrive, if the server had it ready
 	// in time; operators tolerate a quarter of a second.
 	answerGrace = 170 * time.Millisecond
-	// maxWaitShare is the part of a route's goal for which a request waits for a slot; the rest is for its work.
-	maxWaitShare = 0.5
+	// maxWaitShare is the part of a route's goal for which a request waits for a slot; the rest is for its work, which
+	// is uncached at worst.
+	maxWaitShare = 0.35
 	// maxBrokenConnections is the number of lost connections after which a request is not sent to another
 	// server. A harmless request is rarely in flight at two crashes; one that crashes servers would crash the
 	// next one as well, and fail every request in flight there.
