pipeline: a connection with a chunked body is left to net/http

The package had a second parser for chunked bodies, to find the first request behind one. Mistakes in it shift the boundaries of requests, and clients that pipeline send GET and HEAD requests without bodies. From a chunked body on, the connection is now left to net/http. The test of requests behind other methods expects those behind the chunked body one by one; it fails with the parser. Tests of the package pass with -race.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -53,9 +53,8 @@
 	// closed is set when the client has disconnected or the connection is closed.
 	closed bool
 	head   headScanner
-	// remaining is the number of bytes of a body with a Content-Length, or -1 for a chunked body.
+	// remaining is the number of bytes of the body that are not handed out.
 	remaining int64
-	chunks    chunkScanner
 	// current is the request that net/http has passed to the handler, or nil.
 	current *http.Request
 	// held are bytes that were read and not handed out; the first parsed of them belong to requests that
@@ -176,23 +175,13 @@
 			c.head = headScanner{}
 		}
 		return end
-	case c.phase == phaseBody && c.remaining >= 0:
+	case c.phase == phaseBody:
 		n := min(int64(len(p)), c.remaining)
 		c.remaining -= n
 		if c.remaining == 0 {
 			c.endBody()
 		}
 		return int(n)
-	case c.phase == phaseBody:
-		end, complete, valid := c.chunks.scan(p)
-		if !valid {
-			c.passThrough = true
-			return len(p)
-		}
-		if complete {
-			c.endBody()
-		}
-		return end
 	default:
 		// A background read whose byte is the first of the next head.
 		end, _ := c.head.scan(p)
@@ -287,7 +276,8 @@
 func (c *conn) begin(r *http.Request) *request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseHanded {
+	if c.phase != phaseHanded || r.ContentLength < 0 {
+		// The end of a chunked body is known only to net/http.
 		c.passThrough = true
 	}
 	c.current = r
@@ -295,7 +285,6 @@
 	c.phase = phaseServing
 	if r.ContentLength != 0 {
 		c.phase = phaseBody
-		c.chunks = chunkScanner{}
 	}
 	var first *request
 	if len(c.queue) > 0 {
