pipeline: reads of a connection left to net/http are not limited

On a connection that is left to net/http, the length of the last body still limited each read: after a body of one byte, the next head was read with one system call a byte (2,045 reads for 2,045 bytes in the new test, which fails without the change). Such reads are passed on as they are.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -85,7 +85,7 @@
 		return c.handOutHeld(p), nil
 	}
 	limited := p
-	if c.phase == phaseBody && c.remaining > 0 {
+	if !c.passThrough && c.phase == phaseBody && c.remaining > 0 {
 		limited = p[:min(int64(len(p)), c.remaining)]
 	}
 	c.mu.Unlock()
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -334,10 +334,11 @@
 	c.Assert(highest.Load(), qt.Equals, int64(9))
 }
 
-// countingListener counts the bytes that its connections read.
+// countingListener counts the bytes that its connections read, and the calls of Read.
 type countingListener struct {
 	net.Listener
-	read atomic.Int64
+	read  atomic.Int64
+	calls atomic.Int64
 	// changed is signalled after each read.
 	changed chan struct{}
 }
@@ -355,6 +356,7 @@
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.listener.read.Add(int64(n))
+	c.listener.calls.Add(1)
 	select {
 	case c.listener.changed <- struct{}{}:
 	default:
@@ -362,6 +364,30 @@
 	return n, err
 }
 
+// Guards against a system call for each byte on a connection that is left to net/http, after a request with a short
+// body.
+func TestConnectionLeftToTheServerIsReadInLargePieces(t *testing.T) {
+	c := qt.New(t)
+	l := &countingListener{changed: make(chan struct{}, 1)}
+	g := newGate("/chunked", "/short", "/long")
+	for _, release := range g.release {
+		close(release)
+	}
+	s := startServer(c, false, g, func(inner net.Listener) net.Listener {
+		l.Listener = inner
+		return l
+	})
+	cl := s.dial(c)
+	cl.send("POST /chunked HTTP/1.1\r\nHost: shop\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n")
+	cl.expect("/chunkedatrue")
+	cl.send("POST /short HTTP/1.1\r\nHost: shop\r\nContent-Length: 1\r\n\r\nb")
+	cl.expect("/shortbtrue")
+	before := l.calls.Load()
+	cl.send("GET /long HTTP/1.1\r\nHost: shop\r\nX-Long: " + strings.Repeat("a", 2000) + "\r\n\r\n")
+	cl.expect("/longtrue")
+	c.Assert(l.calls.Load()-before < 100, qt.IsTrue, qt.Commentf("%d reads", l.calls.Load()-before))
+}
+
 // Guards against requests that are parsed from their second byte on, when the buffer is full before the handler
 // of the first request begins.
 func TestBufferFullBeforeTheHandlerBegins(t *testing.T) {
