pipeline: no ReadFrom on connections

A handler that copies a response from a reader made net/http copy straight to the connection, which it does not do on the counted connections below: such copies ignore a declared Content-Length, and a failing write did not cancel the request. The method is removed; it saved nothing, as the connection below has to count the bytes. The new test received 1,000 bytes of a response of 600 before (and an empty one from net/http alone), and fails without the change.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -216,11 +215,6 @@
 	return n, err
 }
 
-// ReadFrom lets net/http copy without a buffer in user space, as on the connection itself.
-func (c *conn) ReadFrom(r io.Reader) (int64, error) {
-	return io.Copy(c.Conn, r)
-}
-
 // NetConn returns the wrapped connection.
 func (c *conn) NetConn() net.Conn {
 	return c.Conn
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -19,6 +19,7 @@
 
 	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/pipeline"
+	"lovageyard.example/lovageyard/utilisation"
 )
 
 // testServer is an http.Server on a loopback address, with a Pipeline unless it is plain.
@@ -519,6 +520,26 @@
 	c.Assert(received[1], qt.DeepEquals, received[0])
 }
 
+// Guards against responses that differ from those of net/http alone over connections that are wrapped already: here
+// against bytes beyond the declared length.
+func TestCopiedResponseOverCountedConnections(t *testing.T) {
+	c := qt.New(t)
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "600")
+		_, err := io.Copy(w, io.LimitReader(strings.NewReader(strings.Repeat("a", 1000)), 1000))
+		qt.Check(t, err, qt.IsNotNil)
+	})
+	var received [2]string
+	for i, plain := range []bool{true, false} {
+		cl := startServer(c, plain, h, (&utilisation.Process{}).Listen).dial(c)
+		cl.send("GET /1 HTTP/1.1\r\nHost: shop\r\nConnection: close\r\n\r\n")
+		text, err := io.ReadAll(cl.reader)
+		c.Assert(err, qt.IsNil)
+		_, received[i], _ = strings.Cut(string(text), "\r\n\r\n")
+	}
+	c.Assert(received[1], qt.Equals, received[0])
+}
+
 // Guards against bytes that are lost when a handler takes over the connection.
 func TestHijackedConnectionDeliversAllBytes(t *testing.T) {
 	c := qt.New(t)
