lovageyardd, dispatch, fleet: long files are split

Moves the listeners of edge mode, the types of a choice and an interface to files of their own; no statement changes. One unused parameter of a test is unnamed, which the linter reported.

--- a/dispatch/priority_test.go
+++ b/dispatch/priority_test.go
@@ -189,7 +189,7 @@
 	l.withoutLargeBodies = true
 	l.accounts = accountsOf(4)
 	for i := range l.kinds {
-		l.kinds[i].account = func(m *simulation) string { return "large" }
+		l.kinds[i].account = func(*simulation) string { return "large" }
 	}
 	m := newSimulation(l)
 	refused := 0
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -54,12 +54,6 @@
 	SetInstances(names []string, now time.Time)
 }
 
-// Meter measures the utilisation of this instance; see utilisation.Meter.
-type Meter interface {
-	// Measure returns the mean utilisation until a monotonic time, and whether it is known.
-	Measure(now time.Duration) (utilisation float64, known bool)
-}
-
 // Settings holds the dependencies and parameters of a Control.
 type Settings struct {
 	Self      lovageyard.EntryInstance
--- a/fleet/utilisation.go
+++ b/fleet/utilisation.go
@@ -1,10 +1,20 @@
 package fleet
 
-import "lovageyard.example/lovageyard/meter"
+import (
+	"time"
+
+	"lovageyard.example/lovageyard/meter"
+)
 
 // Each instance sends its utilisation with its heartbeats, and passes on the last one that it has received from each
 // other instance. It is not a part of the view, which is published only when it changes.
 
+// Meter measures the utilisation of this instance; see utilisation.Meter.
+type Meter interface {
+	// Measure returns the mean utilisation until a monotonic time, and whether it is known.
+	Measure(now time.Duration) (utilisation float64, known bool)
+}
+
 // unknownUtilisation is the value of the metric while the utilisation is not known.
 const unknownUtilisation = -1
 
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"os"
@@ -25,10 +23,8 @@
 	"lovageyard.example/lovageyard/footprint"
 	"lovageyard.example/lovageyard/freshness"
 	"lovageyard.example/lovageyard/link"
-	"lovageyard.example/lovageyard/lookup"
 	"lovageyard.example/lovageyard/meter"
 	"lovageyard.example/lovageyard/peer"
-	"lovageyard.example/lovageyard/peer/wire"
 	"lovageyard.example/lovageyard/pipeline"
 	"lovageyard.example/lovageyard/platform"
 	"lovageyard.example/lovageyard/quarantine"
@@ -44,12 +40,6 @@
 	// of the Go runtime.
 	memoryLimitShare = 0.7
 	bytesPerMiB      = 1 << 20
-	// edgeHeaderTimeout limits the time to read a request's headers.
-	edgeHeaderTimeout = 10 * time.Second
-	// edgeIdleTimeout is longer than callers keep idle connections for reuse.
-	edgeIdleTimeout = 90 * time.Second
-	// edgeMaxHeaderBytes limits the size of a request's headers; net/http adds 4 KiB.
-	edgeMaxHeaderBytes = 16 << 10
 	// checkPeriod is the period of the checks for expired idle connections and changed settings, and
 	// of the updates of the gauges.
 	checkPeriod = time.Second
@@ -269,90 +259,6 @@
 	return s, nil
 }
 
-// serveAll starts to serve on all sockets.
-func (e *edge) serveAll(s *edgeSockets) {
-	o := e.options
-	handler := entry.NewHandler(entry.Settings{
-		Source:      e.control,
-		Codec:       platform.Headers{},
-		Sender:      e.sender,
-		Dispatch:    e.dispatch,
-		Quarantine:  e.quarantine,
-		Quota:       e.limiter,
-		Timer:       e.timer,
-		Logger:      e.logger,
-		Metrics:     e.meters,
-		Shares:      e.shares,
-		Memory:      e.memory,
-		MinBodyRate: o.MinBodyRate,
-		Limits:      o.ageLimits(),
-	})
-	e.callerServer = newEdgeServer(handler)
-	if o.MinBodyRate > 0 {
-		e.callerServer.ConnContext = entry.ConnContext
-	}
-	e.pipeline = pipeline.New(pipeline.Settings{Handler: handler, Logger: e.logger, Metrics: e.meters})
-	e.pipeline.Attach(e.callerServer)
-	e.serve(e.pipeline.Listener(e.process.Listen(s.callers)), e.callerServer)
-	e.serveOther(s.ready, &entry.Readiness{Source: e.control})
-	e.serveOther(s.lookUps, &entry.Directory{
-		Source:   e.control,
-		KeepFor:  min(o.KeepFor, o.KeepForMax),
-		Selector: lookup.NewSelector(),
-
-		Utilisation: e.control,
-		Timer:       e.timer,
-		Logger:      e.logger,
-		Metrics:     e.meters,
-	})
-	e.serveOther(s.peers, e.peerServices())
-	if s.metrics != nil {
-		e.serveOther(s.metrics, http.HandlerFunc(e.writeMetrics))
-	}
-}
-
-// peerServices returns the handler of the RPC services that peers call.
-func (e *edge) peerServices() http.Handler {
-	services := http.NewServeMux()
-	for _, s := range []wire.TwirpServer{wire.NewFleetServer(e.control), wire.NewQuotaServer(e.limiter)} {
-		services.Handle(s.PathPrefix(), s)
-	}
-	services.Handle(wire.DetourPathPrefix, e.detours.Handler())
-	return services
-}
-
-// pathChanged is called when this instance no longer reaches any backend server, and when it does again.
-func (e *edge) pathChanged(lost bool) {
-	if lost {
-		e.dispatch.ForgetFailures()
-	}
-	e.control.SetIsolated(lost)
-}
-
-func (e *edge) serveOther(l net.Listener, h http.Handler) {
-	server := newEdgeServer(h)
-	e.otherServers = append(e.otherServers, server)
-	e.serve(l, server)
-}
-
-func newEdgeServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: edgeHeaderTimeout,
-		IdleTimeout:       edgeIdleTimeout,
-		MaxHeaderBytes:    edgeMaxHeaderBytes,
-		ErrorLog:          log.New(io.Discard, "", 0),
-	}
-}
-
-func (e *edge) serve(l net.Listener, s *http.Server) {
-	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			e.logger.WithError(err).WithField("address", l.Addr().String()).Error("a listener failed")
-		}
-	}()
-}
-
 // updateGauges updates all metrics that are gauges.
 func (e *edge) updateGauges(now time.Time) {
 	view := e.control.View()
