pipeline, entry: readers of pipelined responses are watched

The response writer of a request that is run ahead did not support write deadlines, so entry did not watch the reader: up to 1 MB of responses on a connection was buffered outside the memory budget, and a client that stopped reading held it and its goroutines without end. SetWriteDeadline now waits until net/http reaches the request; entry starts the watch then and keeps the body in its budget until it is written. Unwrap does not wait for a blocked write, which kept the watch from ending one. The tests of bodies run with a pipeline, as in edge mode. The new test fails without the change; with it, both tests of slow readers pass with -race.

--- a/entry/body_test.go
+++ b/entry/body_test.go
@@ -15,11 +15,14 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/entry"
 	"lovageyard.example/lovageyard/footprint"
 	"lovageyard.example/lovageyard/link"
+	"lovageyard.example/lovageyard/meter"
+	"lovageyard.example/lovageyard/pipeline"
 	"lovageyard.example/lovageyard/platform"
 	"lovageyard.example/lovageyard/platform/fake"
 	"lovageyard.example/lovageyard/timer"
@@ -84,10 +87,17 @@
 		h.c.Check(link.Socket(c).(*net.TCPConn).SetWriteBuffer(kernelBuffer), qt.IsNil)
 		return entry.ConnContext(ctx, c)
 	}
-	// As by an instance in edge mode, bytes are counted.
-	front.Listener = (&utilisation.Process{}).Listen(front.Listener)
+	// As by an instance in edge mode, bytes are counted and pipelined requests run ahead.
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	ahead := pipeline.New(pipeline.Settings{Handler: front.Config.Handler, Logger: logger, Metrics: meter.NewSet()})
+	ahead.Attach(front.Config)
+	front.Listener = ahead.Listener((&utilisation.Process{}).Listen(front.Listener))
 	front.Start()
-	h.c.Cleanup(front.Close)
+	h.c.Cleanup(func() {
+		front.Close()
+		ahead.Close(context.Background())
+	})
 	i.address = front.Listener.Addr().String()
 	return i
 }
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -70,18 +70,21 @@
 // watchReader starts to watch the client, and returns nil if the response does not go to a TCP connection of its own.
 func (x *exchange) watchReader() *readerWatch {
 	conn, _ := x.request.Context().Value(connKey{}).(net.Conn)
-	acked, ok := link.AckedBytes(conn)
-	if !ok {
+	if _, ok := link.AckedBytes(conn); !ok {
 		return nil
 	}
 	w := &readerWatch{
 		conn:    conn,
 		control: http.NewResponseController(x.writer),
-		pace:    pace{rate: x.handler.MinBodyRate, windowStart: x.handler.Timer.Now()},
-		acked:   acked,
 		stop:    make(chan struct{}),
 		ended:   make(chan struct{}),
 	}
+	// A pipelined request waits here until the responses before it are written.
+	if w.control.SetWriteDeadline(time.Time{}) != nil {
+		return nil
+	}
+	w.pace = pace{rate: x.handler.MinBodyRate, windowStart: x.handler.Timer.Now()}
+	w.acked, _ = link.AckedBytes(conn)
 	if w.moveDeadline() != nil {
 		return nil
 	}
--- a/entry/reader_test.go
+++ b/entry/reader_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -174,6 +175,32 @@
 	i.c.Assert(i.read(moving).StatusCode, qt.Equals, http.StatusOK)
 }
 
+// A client that pipelines and stops reading behind its first response must not hold memory either. The time that the
+// second response waits for the first one does not count as slow.
+func TestSlowReaderOfPipelinedResponsesIsEnded(t *testing.T) {
+	t.Parallel()
+	const rate, length = 20_000, 420_000
+	i := newInstance(t, 2<<20, rate, func(w http.ResponseWriter, r *http.Request) {
+		fake.Seal(w.Header(), r.Header)
+		_, _ = w.Write(make([]byte, length))
+	})
+	conn := i.get("/x/")
+	for range 2 {
+		fmt.Fprint(conn, "GET /x/ HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: id-1\r\n\r\n")
+	}
+	i.await(func(s footprint.Stats) bool { return s.Large >= 3*length })
+	reader := bufio.NewReader(&slowConn{Conn: conn})
+	for range 2 {
+		response, err := http.ReadResponse(reader, nil)
+		i.c.Assert(err, qt.IsNil)
+		body, err := io.ReadAll(response.Body)
+		i.c.Assert(err, qt.IsNil)
+		i.c.Assert(body, qt.HasLen, length)
+	}
+	i.awaitLine(`"cause":"slow-reader"`)
+	i.await(isUnused)
+}
+
 // slowConn is a connection that is read at about 60 kB a second.
 type slowConn struct{ net.Conn }
 
--- a/pipeline/writer.go
+++ b/pipeline/writer.go
@@ -5,13 +5,14 @@
 	"maps"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // responseWriter buffers a response until net/http reaches its request, and then passes on what is written.
 type responseWriter struct {
 	ctx  context.Context
 	conn *conn
-	// attached is closed when server is set.
+	// attached is closed when server is set and the response so far is written.
 	attached chan struct{}
 
 	mu     sync.Mutex
@@ -22,7 +23,7 @@
 	written       head
 	body          []byte
 	flushed       bool
-	// server is the response writer of net/http, or nil.
+	// server is the response writer of net/http, or nil. It does not change once attached is closed.
 	server http.ResponseWriter
 }
 
@@ -103,11 +104,24 @@
 	}
 }
 
-// Unwrap returns the response writer of net/http, or nil if the request is not reached.
+// SetWriteDeadline waits until net/http reaches the request, as the deadline applies to the responses before it until
+// then, and sets it.
+func (w *responseWriter) SetWriteDeadline(deadline time.Time) error {
+	if err := w.wait(); err != nil {
+		return err
+	}
+	return http.NewResponseController(w.server).SetWriteDeadline(deadline)
+}
+
+// Unwrap returns the response writer of net/http, or nil if the request is not reached. It does not wait for a write
+// that blocks.
 func (w *responseWriter) Unwrap() http.ResponseWriter {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.server
+	select {
+	case <-w.attached:
+		return w.server
+	default:
+		return nil
+	}
 }
 
 // wait returns nil when net/http has reached the request.
