pipeline: Flush reports errors

http.ResponseController.Flush returned nil for a request that is run ahead even if net/http had failed to write: entry then took a response for complete, and removed the write deadline and the reset of its connection. The response writer now has FlushError. The new test fails without the change.

--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -540,6 +541,29 @@
 	c.Assert(received[1], qt.Equals, received[0])
 }
 
+// Guards against a handler that takes a response for sent although its connection has failed.
+func TestFlushReportsFailures(t *testing.T) {
+	c := qt.New(t)
+	started := make(chan string, 2)
+	release := make(chan struct{})
+	failure := make(chan error, 1)
+	cl := startServer(c, false, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started <- r.URL.Path
+		if r.URL.Path == "/1" {
+			<-release
+			return
+		}
+		control := http.NewResponseController(w)
+		qt.Check(t, control.SetWriteDeadline(time.Now().Add(-time.Second)), qt.IsNil)
+		_, _ = io.WriteString(w, "a")
+		failure <- control.Flush()
+	}), nil).dial(c)
+	cl.send(gets("/1", "/2"))
+	await(c, started, 2)
+	close(release)
+	c.Assert(<-failure, qt.ErrorIs, os.ErrDeadlineExceeded)
+}
+
 // Guards against bytes that are lost when a handler takes over the connection.
 func TestHijackedConnectionDeliversAllBytes(t *testing.T) {
 	c := qt.New(t)
--- a/pipeline/writer.go
+++ b/pipeline/writer.go
@@ -93,15 +93,21 @@
 
 // Flush sends buffered data if net/http has reached the request, or as soon as it does.
 func (w *responseWriter) Flush() {
+	_ = w.FlushError()
+}
+
+// FlushError is as Flush, and returns the error of net/http if it has reached the request.
+func (w *responseWriter) FlushError() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.written.status == 0 {
 		w.writeHeader(http.StatusOK)
 	}
 	w.flushed = true
-	if w.server != nil {
-		_ = http.NewResponseController(w.server).Flush()
+	if w.server == nil {
+		return nil
 	}
+	return http.NewResponseController(w.server).Flush()
 }
 
 // SetWriteDeadline waits until net/http reaches the request, as the deadline applies to the responses before it until
