pipeline: a response in progress cancels those behind it only when its connection closes

When the handler of the response in progress returned, its header was searched for "Connection: close". A header that is set after the head is sent closes nothing: the requests behind were cancelled and their responses delivered. The search is removed; net/http closes the connection right after such a response, which cancels those behind. The new test fails without the change.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -293,20 +293,14 @@
 	return first
 }
 
-// end records that the handler has returned. If its response closes the connection, the requests that are run
-// ahead are cancelled.
-func (c *conn) end(w http.ResponseWriter) {
+// end records that the handler has returned.
+func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.current = nil
 	if c.phase == phaseServing {
 		c.phase = phaseHead
 	}
-	// net/http copies the header if it is accessed after it is written.
-	if len(c.queue) > 0 && closesConnection(w.Header()) {
-		c.blocked = true
-		c.cancelFrom(0)
-	}
 }
 
 // endAhead records that the response of a request run ahead is complete and closes the connection, so
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -96,7 +96,7 @@
 		return
 	}
 	ahead := c.begin(r)
-	defer c.end(w)
+	defer c.end()
 	if ahead == nil {
 		p.Handler.ServeHTTP(w, r)
 		return
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -286,6 +286,32 @@
 	}
 }
 
+// Guards against requests that are cancelled and answered nevertheless, behind a response whose head was sent before
+// its handler asked for the connection to be closed.
+func TestHeaderSetAfterTheHeadCancelsNothing(t *testing.T) {
+	c := qt.New(t)
+	g := newGate("/2")
+	first, sent := make(chan struct{}), make(chan struct{})
+	cl := startServer(c, false, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/1" {
+			g.ServeHTTP(w, r)
+			return
+		}
+		<-first
+		_, _ = io.WriteString(w, "/1")
+		qt.Check(t, http.NewResponseController(w).Flush(), qt.IsNil)
+		w.Header().Set("Connection", "close")
+		close(sent)
+	}), nil).dial(c)
+	cl.send(gets("/1", "/2"))
+	await(c, g.started, 1)
+	close(first)
+	<-sent
+	cl.expect("/1")
+	close(g.release["/2"])
+	cl.expect("/2true")
+}
+
 // Guards against a shutdown that waits for requests ahead, answers them, or leaves their handlers running.
 func TestShutdownClosesAfterTheResponseInProgress(t *testing.T) {
 	c := qt.New(t)
