pipeline: test of clients that do not pipeline

Compares the bytes of all responses with those of net/http alone, byte for byte, over connections that are wrapped by package utilisation.

--- a/pipeline/equivalence_test.go
+++ b/pipeline/equivalence_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"regexp"
 	"runtime"
 	"slices"
 	"strings"
@@ -16,6 +17,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"lovageyard.example/lovageyard/utilisation"
 )
 
 // recorder is a handler that records the requests of the connection and responds with their fields.
@@ -243,6 +246,60 @@
 	}
 }
 
+// sequential are requests that are sent one by one. The server closes the connection after the last one.
+var sequential = []string{
+	get("/1"), get("/long"), get("/empty"), get("/none"), get("/flush"), get("/trailer"), get("/declared"), get("/early"),
+	"HEAD /long HTTP/1.1\r\nHost: shop\r\n\r\n",
+	"POST /1 HTTP/1.1\r\nHost: shop\r\nContent-Length: 4\r\n\r\nabcd",
+	"POST /2 HTTP/1.1\r\nHost: shop\r\nContent-Length: 0\r\n\r\n",
+	"PUT /3 HTTP/1.1\r\nHost: shop\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("a", 20000),
+	"PUT /4 HTTP/1.1\r\nHost: shop\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nab",
+	"OPTIONS * HTTP/1.1\r\nHost: shop\r\n\r\n",
+	get("/5"),
+	"POST /6 HTTP/1.1\r\nHost: shop\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n1;x=y\r\na\r\n0\r\nX-T: 1\r\n\r\n",
+	get("/7"),
+	"GET /8 HTTP/1.0\r\nHost: shop\r\nConnection: keep-alive\r\n\r\n",
+	"malformed\r\n\r\n",
+}
+
+// Guards against any difference for a client that does not pipeline, over connections whose bytes are counted. Each
+// request is the first of a connection once, as some change how the connection is read from then on.
+func TestSequentialRequestsAreServedAsByTheServerAlone(t *testing.T) {
+	c := qt.New(t)
+	for first := range sequential {
+		var received [2]string
+		var requests [2][]string
+		for i, plain := range []bool{true, false} {
+			r := &recorder{requests: map[string][]string{}}
+			s := startServer(c, plain, r, (&utilisation.Process{}).Listen)
+			cl := s.dial(c)
+			var text bytes.Buffer
+			cl.reader = bufio.NewReader(io.TeeReader(cl.Conn, &text))
+			for _, input := range sequential[first:] {
+				cl.send(input)
+				method, _, _ := strings.Cut(input, " ")
+				for informational := true; informational; {
+					response, err := http.ReadResponse(cl.reader, &http.Request{Method: method})
+					c.Assert(err, qt.IsNil, qt.Commentf("%q", input))
+					_, err = io.Copy(io.Discard, response.Body)
+					c.Assert(err, qt.IsNil)
+					informational = response.StatusCode < http.StatusOK
+				}
+			}
+			cl.expectEnd()
+			received[i] = dates.ReplaceAllString(text.String(), "")
+			requests[i] = r.take(cl.LocalAddr().String())
+			var metrics strings.Builder
+			s.metrics.Write(&metrics)
+			c.Assert(metrics.String(), qt.Not(qt.Contains), "requests-ahead")
+		}
+		c.Assert(received[1], qt.Equals, received[0])
+		c.Assert(requests[1], qt.DeepEquals, requests[0])
+	}
+}
+
+var dates = regexp.MustCompile("(?m)^Date: .*$")
+
 // Guards against the same with any bytes.
 func FuzzEquivalence(f *testing.F) {
 	for i, input := range inputs {
