pipeline: large writes are not buffered

A body that entry writes at once was copied into the buffers of the connection, and its reservation in the memory budget released: 1 MB for each connection outside the budget, if there is no minimum body rate. A write of more than 16 KB now waits until net/http reaches the request, so that the handler keeps the body and its reservation; up to 16 KB are not counted for other responses either. TestBufferedResponsesAreLimited writes in such pieces and checks their exact number, as handlers share the limit then; it fails with a limit of 2 MB. The new test fails without the change.

--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -19,6 +19,9 @@
 	// maxBufferedBytes limits the response bodies of requests run ahead. Handlers that write more wait
 	// until the server reaches their request.
 	maxBufferedBytes = 1 << 20
+	// maxBufferedWrite limits a single write that is buffered. The handler of a larger one holds the body
+	// anyway, and its memory is accounted for until the write returns.
+	maxBufferedWrite = 16 << 10
 	// maxHeldBytes limits the bytes read from the connection that the server has not asked for.
 	maxHeldBytes = 16 << 10
 	// firstHeldBytes is the initial capacity of the buffer for them, the size of the server's own buffer.
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -454,29 +455,60 @@
 // Guards against buffered responses beyond the limit, and against a deadlock when it is reached.
 func TestBufferedResponsesAreLimited(t *testing.T) {
 	c := qt.New(t)
-	const size = 400 << 10
+	// Larger pieces are not buffered.
+	const piece, pieces, limit = 16 << 10, 25, 1 << 20
 	var written atomic.Int64
 	release := make(chan struct{})
 	started := make(chan string, 9)
-	wrote := make(chan string, 9)
+	wrote := make(chan struct{}, 6*pieces)
 	s := startServer(c, false, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		started <- r.URL.Path
 		if r.URL.Path == "/0" {
 			<-release
 		}
-		_, err := io.WriteString(w, strings.Repeat(r.URL.Path[1:], size))
-		qt.Check(t, err, qt.IsNil)
-		written.Add(1)
-		wrote <- r.URL.Path
+		for range pieces {
+			_, err := io.WriteString(w, strings.Repeat(r.URL.Path[1:], piece))
+			qt.Check(t, err, qt.IsNil)
+			written.Add(1)
+			wrote <- struct{}{}
+		}
 	}), nil)
 	cl := s.dial(c)
 	cl.send(gets("/0", "/1", "/2", "/3", "/4", "/5"))
 	await(c, started, 6)
-	await(c, wrote, 2)
-	c.Assert(written.Load(), qt.Equals, int64(2))
+	for range limit / piece {
+		<-wrote
+	}
+	c.Assert(written.Load(), qt.Equals, int64(limit/piece))
 	close(release)
 	for i := range 6 {
-		cl.expect(strings.Repeat(fmt.Sprint(i), size))
+		cl.expect(strings.Repeat(fmt.Sprint(i), piece*pieces))
+	}
+}
+
+// Guards against copies of large bodies that a handler counts only until it has written them.
+func TestLargeWritesAreNotBuffered(t *testing.T) {
+	c := qt.New(t)
+	const large, small = "/16385", "/16384"
+	started, wrote := make(chan string, 3), make(chan string, 3)
+	release := make(chan struct{})
+	cl := startServer(c, false, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started <- r.URL.Path
+		if r.URL.Path == "/0" {
+			<-release
+		}
+		size, _ := strconv.Atoi(r.URL.Path[1:])
+		_, err := io.WriteString(w, strings.Repeat("a", size))
+		qt.Check(t, err, qt.IsNil)
+		wrote <- r.URL.Path
+	}), nil).dial(c)
+	cl.send(gets("/0", large, small))
+	await(c, started, 3)
+	c.Assert(<-wrote, qt.Equals, small)
+	close(release)
+	c.Assert(<-wrote, qt.Equals, "/0")
+	for _, size := range []int{0, 16385, 16384} {
+		cl.expect(strings.Repeat("a", size))
 	}
 }
 
--- a/pipeline/writer.go
+++ b/pipeline/writer.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// Write buffers p, or passes it on. If the buffers of the connection are full, it waits until net/http has
-// reached the request.
+// Write buffers p, or passes it on. If p is large, or the buffers of the connection are full, it waits until net/http
+// has reached the request.
 func (w *responseWriter) Write(p []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -77,7 +77,7 @@
 		if w.written.status == http.StatusNoContent || w.written.status == http.StatusNotModified {
 			return 0, http.ErrBodyNotAllowed
 		}
-		if w.conn.reserve(len(p)) {
+		if len(p) <= maxBufferedWrite && w.conn.reserve(len(p)) {
 			w.body = append(w.body, p...)
 			return len(p), nil
 		}
