--- a/pipeline/writer.go
+++ b/pipeline/writer.go
@@ -5,13 +5,14 @@
 	"maps"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // responseWriter buffers a response until net/http reaches its request, and then passes on what is written.
 type responseWriter struct {
 	ctx  context.Context
 	conn *conn
-	// attached is closed when server is set.
+	// attached is closed when server is set and the response so far is written.
 	attached chan struct{}
 
 	mu     sync.Mutex
@@ -22,7 +23,7 @@
 	written       head
 	body          []byte
 	flushed       bool
-	// server is the response writer of net/http, or nil.
+	// server is the response writer of net/http, or nil. It does not change once attached is closed.
 	server http.ResponseWriter
 }
 
@@ -64,8 +65,8 @@
 	}
 }
 
-// Write buffers p, or passes it on. If the buffers of the connection are full, it waits until net/http has
-// reached the request.
+// Write buffers p, or passes it on. If p is large, or the buffers of the connection are full, it waits until net/http
+// has reached the request.
 func (w *responseWriter) Write(p []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -76,7 +77,7 @@
 		if w.written.status == http.StatusNoContent || w.written.status == http.StatusNotModified {
 			return 0, http.ErrBodyNotAllowed
 		}
-		if w.conn.reserve(len(p)) {
+		if len(p) <= maxBufferedWrite && w.conn.reserve(len(p)) {
 			w.body = append(w.body, p...)
 			return len(p), nil
 		}
@@ -92,22 +93,41 @@
 
 // Flush sends buffered data if net/http has reached the request, or as soon as it does.
 func (w *responseWriter) Flush() {
+	_ = w.FlushError()
+}
+
+// FlushError is as Flush, and returns the error of net/http if it has reached the request.
+func (w *responseWriter) FlushError() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.written.status == 0 {
 		w.writeHeader(http.StatusOK)
 	}
 	w.flushed = true
-	if w.server != nil {
-		_ = http.NewResponseController(w.server).Flush()
+	if w.server == nil {
+		return nil
+	}
+	return http.NewResponseController(w.server).Flush()
+}
+
+// SetWriteDeadline waits until net/http reaches the request, as the deadline applies to the responses before it until
+// then, and sets it.
+func (w *responseWriter) SetWriteDeadline(deadline time.Time) error {
+	if err := w.wait(); err != nil {
+		return err
 	}
+	return http.NewResponseController(w.server).SetWriteDeadline(deadline)
 }
 
-// Unwrap returns the response writer of net/http, or nil if the request is not reached.
+// Unwrap returns the response writer of net/http, or nil if the request is not reached. It does not wait for a write
+// that blocks.
 func (w *responseWriter) Unwrap() http.ResponseWriter {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.server
+	select {
+	case <-w.attached:
+		return w.server
+	default:
+		return nil
+	}
 }
 
 // wait returns nil when net/http has reached the request.
