--- a/soak/callers.go
+++ b/soak/callers.go
@@ -70,17 +70,11 @@
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	region := domains[n%len(domains)].region
-	var addresses []string
-	var lookedUpAt time.Time
+	known := lookUpCache{region: region}
 	for c.context.Err() == nil {
-		if len(addresses) == 0 || time.Since(lookedUpAt) > lookUpLifetime {
-			if found := c.lookUp(client, region); len(found) > 0 {
-				addresses, lookedUpAt = found, time.Now()
-			}
-		}
-		if len(addresses) > 0 {
+		if address := c.pickInstance(client, &known); address != "" {
 			unsafe := rand.IntN(3) == 0
-			c.request(client, permanentAccount(n), addresses[rand.IntN(len(addresses))], unsafe)
+			c.request(client, permanentAccount(n), address, unsafe)
 		}
 		pause := requestPause
 		if c.burst.Load() {
@@ -90,6 +84,30 @@
 	}
 }
 
+// lookUpCache is a caller's last look-up.
+type lookUpCache struct {
+	region     string
+	addresses  []string
+	lookedUpAt time.Time
+}
+
+// pickInstance returns the address of a random instance from the last look-up, which it repeats after lookUpLifetime,
+// or "" if none has succeeded.
+func (c *callerPool) pickInstance(client *http.Client, known *lookUpCache) string {
+	if len(known.addresses) == 0 || time.Since(known.lookedUpAt) > lookUpLifetime {
+		if found := c.lookUp(client, known.region); len(found) > 0 {
+			known.addresses, known.lookedUpAt = found, time.Now()
+			if c.deployment.heavy {
+				c.check.CountHeavy(fmt.Sprintf("look-ups with %d addresses", len(found)))
+			}
+		}
+	}
+	if len(known.addresses) == 0 {
+		return ""
+	}
+	return known.addresses[rand.IntN(len(known.addresses))]
+}
+
 // lookUp sends a look-up to a random instance and returns the addresses in the answer, nil if it failed.
 func (c *callerPool) lookUp(client *http.Client, region string) []string {
 	p := c.deployment.instances[rand.IntN(len(c.deployment.instances))].endpoints()
@@ -136,27 +154,17 @@
 func (c *callerPool) sendAs(
 	client *http.Client, account string, revoked bool, address, method, path, body string, unsafe bool, timeout time.Duration,
 ) outcome {
-	id := fmt.Sprintf("%s-%d", c.run, c.lastNumber.Add(1))
-	c.check.RecordSend(id, address, unsafe)
-	if !c.deployment.withoutAccounts {
-		c.check.RecordAccount(id, sentAccount{name: account, revoked: revoked})
-	}
-	o := outcome{ID: id, Instance: address, Start: time.Now()}
+	o := c.begin(account, revoked, address, unsafe)
 	// The timeout is independent of the run's context, so that the end of the run cancels no request.
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteRequest: func(info httptrace.WroteRequestInfo) { o.Sent = info.Err == nil },
-	})
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
+	var sent atomic.Bool
+	request, err := c.newRequest(ctx, o, &sent, account, method, path, strings.NewReader(body), timeout)
 	if err != nil {
 		return o
 	}
-	request.Host = requestHost
-	fake.SetRequestHeaders(request.Header, id, fmt.Sprint(rand.IntN(affinityKeys)), timeout)
-	c.deployment.setKey(request.Header, account)
 	response, err := client.Do(request)
-	o.End = time.Now()
+	o.End, o.Sent = time.Now(), sent.Load()
 	if err != nil {
 		// A request that exceeded the caller's timeout does not count as cut.
 		o.Sent = o.Sent && ctx.Err() == nil
@@ -166,10 +174,39 @@
 	got, err := io.ReadAll(response.Body)
 	o.Status = response.StatusCode
 	o.Complete = err == nil
-	o.Matches = fake.IsCompleteResponse(response.Header, got, id)
+	o.Matches = fake.IsCompleteResponse(response.Header, got, o.ID)
+	o.Foreign = fake.IsResponseToOther(response.Header, o.ID)
 	return o
 }
 
+// begin records a request of an account under a new request identity, and returns its outcome before it is sent.
+func (c *callerPool) begin(account string, revoked bool, address string, unsafe bool) outcome {
+	id := fmt.Sprintf("%s-%d", c.run, c.lastNumber.Add(1))
+	c.check.RecordSend(id, address, unsafe)
+	if !c.deployment.withoutAccounts {
+		c.check.RecordAccount(id, sentAccount{name: account, revoked: revoked})
+	}
+	return outcome{ID: id, Instance: address, Start: time.Now()}
+}
+
+// newRequest returns the request of an outcome. sent is set once the request is written, which may be after its response
+// has arrived.
+func (c *callerPool) newRequest(
+	ctx context.Context, o outcome, sent *atomic.Bool, account, method, path string, body io.Reader, timeout time.Duration,
+) (*http.Request, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) { sent.Store(info.Err == nil) },
+	})
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+o.Instance+path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.Host = requestHost
+	fake.SetRequestHeaders(request.Header, o.ID, fmt.Sprint(rand.IntN(affinityKeys)), timeout)
+	c.deployment.setKey(request.Header, account)
+	return request, nil
+}
+
 // probe sends requests to each instance on the route that only the newest version of the configuration has,
 // and on the one that only the previous version had.
 func (c *callerPool) probe() {
--- a/soak/check.go
+++ b/soak/check.go
@@ -31,9 +31,15 @@
 	Instance string
 	// Status is 0 if there was no answer.
 	Status int
-	// Complete means that the answer was read to its end, and Matches that it belongs to the request.
+	// Complete means that the answer was read to its end, and Matches that it belongs to the request. Foreign means
+	// that it states the identity of another request.
 	Complete bool
 	Matches  bool
+	Foreign  bool
+	// Large means that a fault of the instance may end the answer halfway, and Stalled that the caller reads or sends
+	// so slowly that the instance must end it. Matches then refers to what was read, and End to the end of the answer.
+	Large   bool
+	Stalled bool
 	// Sent means that the whole request was written to an established connection.
 	Sent bool
 	// End is the time when the header of the answer arrived or the request failed.
@@ -84,7 +90,9 @@
 	lateSends    map[string]int
 	backpressure backpressureState
 	// arrivals are the first arrivals of all requests, in order, and regionOfInstance the regions of instances.
-	arrivals         []arrival
+	arrivals []arrival
+	// uploads holds the sizes of the large bodies that callers send.
+	uploads          map[string]int
 	regionOfInstance map[string]string
 	violations       []string
 	counts           map[string]int
@@ -124,6 +132,7 @@
 		backpressure:  newBackpressureState(),
 
 		regionOfInstance: make(map[string]string),
+		uploads:          make(map[string]int),
 		counts:           make(map[string]int),
 	}
 }
@@ -339,7 +348,10 @@
 	default:
 		c.counts[fmt.Sprint(o.Status)]++
 	}
-	if o.Status >= 200 && o.Status < 300 && (!o.Complete || !o.Matches) {
+	if o.Foreign {
+		c.violationf("%s got the answer to another request from %s", o.ID, o.Instance)
+	}
+	if o.Status >= 200 && o.Status < 300 && (!o.Complete || !o.Matches) && !c.mayEndHalfway(o) {
 		c.violationf("%s got a success that is not its own whole answer from %s", o.ID, o.Instance)
 	}
 	if o.Status != 0 {
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -76,6 +76,8 @@
 	harnessErrors []string
 	// withoutAccounts disables client accounts, which an older version of the daemon may not support.
 	withoutAccounts bool
+	// heavy enables routes with large bodies.
+	heavy bool
 }
 
 // backend is a backend server behind its proxy. unavailable is set while it is down, leaving or not
@@ -90,8 +92,11 @@
 
 // newDeployment starts a deployment. The instances run the previous version if there are two. On an error
 // it may return a partial deployment, which the caller must close.
-func newDeployment(p programs, out string, instances, servers int, check *checker) (*deployment, error) {
-	d := &deployment{check: check, store: fake.NewStore(), proxies: make(map[string]*toxiproxy.Proxy), overwritten: make(map[string]bool), withoutAccounts: p.previous != p.current}
+func newDeployment(p programs, out string, o options, check *checker) (*deployment, error) {
+	d := &deployment{
+		check: check, store: fake.NewStore(), proxies: make(map[string]*toxiproxy.Proxy), overwritten: make(map[string]bool),
+		withoutAccounts: p.previous != p.current, heavy: o.Heavy,
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -99,12 +104,12 @@
 	d.storeHTTP = &http.Server{Handler: d.store}
 	go func() { _ = d.storeHTTP.Serve(listener) }()
 	d.configure()
-	for n := range servers {
+	for n := range o.Servers {
 		if err := d.addServer(domains[n%len(domains)].name); err != nil {
 			return d, err
 		}
 	}
-	for n := range instances {
+	for n := range o.Instances {
 		proxy, err := newProxy(fmt.Sprint("store-", n), listener.Addr().String())
 		if err != nil {
 			return d, err
@@ -113,6 +118,9 @@
 			name: fmt.Sprint("entry-", n), domain: domains[n%len(domains)].name, region: domains[n%len(domains)].region,
 			program: p.previous, otherProgram: p.current, logPath: filepath.Join(out, fmt.Sprintf("entry-%d.log", n)), store: proxy.Listen, accounts: !d.withoutAccounts,
 		}
+		if d.heavy {
+			i.settings = heavySettings(n)
+		}
 		d.proxies[i.name] = proxy
 		d.instances = append(d.instances, i)
 		if err := i.start(d.joinAddresses()); err != nil {
@@ -158,6 +166,9 @@
 		route("look", lookUpPrefix, true), route("charge", chargePrefix, false),
 		route("version", fmt.Sprintf(versionPrefix, d.version), true),
 	}
+	if d.heavy {
+		routes = append(routes, heavyRoutes(route)...)
+	}
 	for n := range d.extraRoutes {
 		routes = append(routes, route(fmt.Sprint("more-", n), fmt.Sprintf("/more-%x/", xxhash.Sum64String(fmt.Sprint(n))), true))
 	}
--- a/soak/main.go
+++ b/soak/main.go
@@ -33,6 +33,7 @@
 	Restores     bool          `default:"true" negatable:"" help:"Restore the store from copies that are some seconds old."`
 	Backpressure bool          `help:"Play servers that ask for less in their answers, beside faults of instances and of the store only."`
 	Shifts       bool          `help:"Play bursts and changes of the configuration only, and check in which regions requests run."`
+	Heavy        bool          `help:"Send large bodies, slow ones and pipelined requests besides, over two widths of links, to servers whose pace changes."`
 	Before       string        `help:"Commit of an older version, from which all instances start, are replaced in turn by this one, and go back again; there are no faults then."`
 	Show         bool          `help:"Print the plan of each run."`
 }
@@ -51,6 +52,9 @@
 	case o.Callers < 1 || o.Callers > 2000:
 		return errors.New("--callers: 1 to 2000")
 	}
+	if o.Heavy && o.Before != "" {
+		return errors.New("--heavy: not with --before, which may not know its settings")
+	}
 	return nil
 }
 
@@ -134,7 +138,7 @@
 		return report{}, err
 	}
 	check := newChecker()
-	d, err := newDeployment(p, out, o.Instances, o.Servers, check)
+	d, err := newDeployment(p, out, o, check)
 	if err != nil {
 		if d != nil {
 			d.Close()
@@ -142,6 +146,9 @@
 		return report{}, err
 	}
 	callers := newCallerPool(d, check, fmt.Sprint(seed), o.Callers)
+	if o.Heavy {
+		callers.StartHeavy(seed, max(minHeavyCallers, o.Callers/2))
+	}
 	plan := makePlan(seed, o.Span)
 	if o.Further {
 		plan = addFurther(plan, seed, o.Span)
@@ -181,6 +188,9 @@
 	if o.Shifts {
 		check.CheckShifts()
 	}
+	if o.Heavy {
+		check.CheckHeavy()
+	}
 	harnessErrors := d.Close()
 	violations, counts := check.Result()
 	return report{seed: seed, violations: violations, counts: counts, harnessErrors: harnessErrors}, nil
--- a/soak/process.go
+++ b/soak/process.go
@@ -33,6 +33,8 @@
 	// otherProgram is the program of the other version, if instances of two versions run.
 	otherProgram string
 	logPath      string
+	// settings are further settings of the daemon.
+	settings []string
 	// store is the address of the instance's proxy to the store.
 	store string
 
@@ -68,6 +70,7 @@
 	if i.accounts {
 		arguments = append(arguments, "--revoke-within", revokeBound.String(), "--apply-within", applyBound.String(), "--drain-within", drainWithin.String())
 	}
+	arguments = append(arguments, i.settings...)
 	if len(joinAddresses) > 0 {
 		arguments = append(arguments, "--peer-addresses", strings.Join(joinAddresses, ","))
 	}
@@ -164,6 +167,13 @@
 	}
 }
 
+// serves reports whether the current incarnation listens at an address and was not told to exit.
+func (i *instance) serves(address string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.caller == address && !i.exitExpected
+}
+
 // build builds the daemon into a directory and returns the path of the program.
 func build(dir string) (string, error) {
 	return buildIn(filepath.Join("..", "lovageyardd"), filepath.Join(dir, "lovageyardd"))
