soak: pipelined requests share targets

The pipeline closes a connection if the target of a request run ahead differs from the delivered one, so that distinct targets could not show mixed responses.

--- a/soak/pipeline.go
+++ b/soak/pipeline.go
@@ -18,8 +18,10 @@
 	// pipelined names requests in the counts of CountHeavy.
 	pipelined = "pipelined"
 	// maxPipelined is the largest number of requests sent at once; instances process 8 ahead of the first.
-	maxPipelined   = 12
-	batches        = 10
+	maxPipelined = 12
+	batches      = 10
+	// pipelinedBytes is the size of half of the responses. Many requests of a batch have the same target, so that
+	// instances cannot tell from it that responses are mixed up.
 	pipelinedBytes = 5000
 )
 
@@ -65,7 +67,7 @@
 	var text bytes.Buffer
 	var batch []*pipelinedRequest
 	for range 2 + rand.IntN(maxPipelined-1) {
-		p := &pipelinedRequest{outcome: c.begin(account, false, address, false), bytes: rand.IntN(pipelinedBytes)}
+		p := &pipelinedRequest{outcome: c.begin(account, false, address, false), bytes: rand.IntN(2) * pipelinedBytes}
 		var written atomic.Bool
 		var err error
 		p.request, err = c.newRequest(context.Background(), p.outcome, &written, account, http.MethodGet, fmt.Sprintf("%sx?bytes=%d", lookUpPrefix, p.bytes), nil, callerTimeout)
