--- a/pipeline/limits_test.go
+++ b/pipeline/limits_test.go
@@ -173,10 +173,9 @@
 // Guards against copies of large bodies that a handler counts only until it has written them.
 func TestLargeWritesAreNotBuffered(t *testing.T) {
 	c := qt.New(t)
-	const large, small = "/16385", "/16384"
-	started, wrote := make(chan string, 3), make(chan string, 3)
+	started, wrote := make(chan string, 99), make(chan string, 99)
 	release := make(chan struct{})
-	cl := startServer(c, false, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := startServer(c, false, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		started <- r.URL.Path
 		if r.URL.Path == "/0" {
 			<-release
@@ -185,13 +184,21 @@
 		_, err := io.WriteString(w, strings.Repeat("a", size))
 		qt.Check(t, err, qt.IsNil)
 		wrote <- r.URL.Path
-	}), nil).dial(c)
-	cl.send(gets("/0", large, small))
-	await(c, started, 3)
-	c.Assert(<-wrote, qt.Equals, small)
+	}), nil)
+	cl := s.dial(c)
+	cl.send(gets("/0", "/16385", "/16386", "/16387", "/16384"))
+	await(c, started, 5)
+	c.Assert(<-wrote, qt.Equals, "/16384")
+	// Requests of another client give the handlers time to write.
+	other := s.dial(c)
+	for range 50 {
+		other.send(get("/1"))
+		other.expect("a")
+		c.Assert(<-wrote, qt.Equals, "/1")
+	}
 	close(release)
 	c.Assert(<-wrote, qt.Equals, "/0")
-	for _, size := range []int{0, 16385, 16384} {
+	for _, size := range []int{0, 16385, 16386, 16387, 16384} {
 		cl.expect(strings.Repeat("a", size))
 	}
 }
