--- a/entry/reader_test.go
+++ b/entry/reader_test.go
@@ -179,16 +179,24 @@
 // second response waits for the first one does not count as slow.
 func TestSlowReaderOfPipelinedResponsesIsEnded(t *testing.T) {
 	t.Parallel()
-	const rate, length = 20_000, 420_000
+	const rate, length, requests = 20_000, 420_000, 3
+	// The server answers once it has all requests: those that arrive after the length of the first response is known
+	// may be refused, as the server's share of the budget is smaller than two responses.
+	var arrived atomic.Int64
+	all := make(chan struct{})
 	i := newInstance(t, 2<<20, rate, func(w http.ResponseWriter, r *http.Request) {
+		if arrived.Add(1) == requests {
+			close(all)
+		}
+		<-all
 		fake.Seal(w.Header(), r.Header)
 		_, _ = w.Write(make([]byte, length))
 	})
 	conn := i.get("/x/")
-	for range 2 {
+	for range requests - 1 {
 		fmt.Fprint(conn, "GET /x/ HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: id-1\r\n\r\n")
 	}
-	i.await(func(s footprint.Stats) bool { return s.Large >= 3*length })
+	i.await(func(s footprint.Stats) bool { return s.Large >= requests*length })
 	reader := bufio.NewReader(&slowConn{Conn: conn})
 	for range 2 {
 		response, err := http.ReadResponse(reader, nil)
