dispatch, entry: request lines tell the retry budget's decision

Request lines showed that an attempt was repeated, but not what the budget knew: neither how many repeats this instance had spent and was allowed, nor among how many instances the bound was divided. The hypotheses on repeats beyond the budget could not be told apart by logs. TakeRetry returns a RetryDecision; lines of requests that asked for a repeat have its four values. No decision changes.

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -45,18 +45,29 @@
 	b.requests[b.advance(bound, now)]++
 }
 
-// takeRetry reports whether a retry is allowed, and records it if so.
-func (b *budget) takeRetry(bound RetryBound, instances int, now time.Time) bool {
+// RetryDecision tells whether a retry is allowed, and why.
+type RetryDecision struct {
+	Allowed bool
+	// Spent is the number of retries of this instance in the last window, without this one, and Limit the number
+	// that is allowed.
+	Spent, Limit float64
+	// Instances is the number of instances among which the bound is divided.
+	Instances int
+}
+
+// takeRetry decides on a retry, and records it if it is allowed.
+func (b *budget) takeRetry(bound RetryBound, instances int, now time.Time) RetryDecision {
 	current := b.advance(bound, now)
 	var requests, retries float64
 	for i := range b.requests {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	allowed := retryBoundShare * (bound.Ratio*requests + bound.Slack/float64(max(1, instances)))
-	if retries+1 > allowed {
-		return false
+	instances = max(1, instances)
+	limit := retryBoundShare * (bound.Ratio*requests + bound.Slack/float64(instances))
+	d := RetryDecision{Allowed: retries+1 <= limit, Spent: retries, Limit: limit, Instances: instances}
+	if d.Allowed {
+		b.retries[current]++
 	}
-	b.retries[current]++
-	return true
+	return d
 }
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -223,13 +223,16 @@
 	return name
 }
 
-// TakeRetry reports whether the retry budget allows another attempt at a service, and counts the
-// attempt if so.
-func (t *Table) TakeRetry(name string, now time.Time) bool {
+// TakeRetry decides by the retry budget on another attempt at a service, and counts the attempt if it
+// is allowed.
+func (t *Table) TakeRetry(name string, now time.Time) RetryDecision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[name]
-	return s != nil && s.budget.takeRetry(t.settings.Retries, len(t.instances), now)
+	if s == nil {
+		return RetryDecision{Instances: len(t.instances)}
+	}
+	return s.budget.takeRetry(t.settings.Retries, len(t.instances), now)
 }
 
 // Cancel undoes a choice for which no request was sent.
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -127,7 +127,8 @@
 
 // spendRetry takes one retry from the service's retry budget, and returns false if none is left.
 func (x *exchange) spendRetry() bool {
-	if x.handler.Dispatch.TakeRetry(x.service, x.handler.Timer.Now()) {
+	x.retry = x.handler.Dispatch.TakeRetry(x.service, x.handler.Timer.Now())
+	if x.retry.Allowed {
 		x.handler.Metrics.Count(meter.Retries, x.label())
 		return true
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -135,6 +135,8 @@
 	cause string
 	// refused is the choice by which the first attempt was refused, or the zero Choice.
 	refused dispatch.Choice
+	// retry is the last decision of the retry budget, or the zero RetryDecision.
+	retry dispatch.RetryDecision
 	// ran reports whether an attempt may have run the request.
 	ran bool
 	// retryAfter is the time until a server accepts requests again, if every server has requested backoff.
--- a/entry/log.go
+++ b/entry/log.go
@@ -7,6 +7,7 @@
 
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/decision"
+	"lovageyard.example/lovageyard/dispatch"
 	"lovageyard.example/lovageyard/quarantine"
 )
 
@@ -40,6 +41,7 @@
 	if a != nil {
 		x.addAttempt(fields, a)
 	}
+	addRetry(fields, x.retry)
 	x.handler.Logger.WithFields(fields).Log(level, "request")
 }
 
@@ -111,6 +113,17 @@
 	}
 }
 
+// addRetry adds the last decision of the retry budget, if there was one.
+func addRetry(fields logrus.Fields, d dispatch.RetryDecision) {
+	if d.Instances == 0 {
+		return
+	}
+	fields["retry-allowed"] = d.Allowed
+	fields["retries-spent"] = d.Spent
+	fields["retries-limit"] = d.Limit
+	fields["retry-instances"] = d.Instances
+}
+
 // addBackpressure adds the backpressure that the server signaled in its answer.
 func addBackpressure(fields logrus.Fields, b lovageyard.Backpressure) {
 	if b.Limited {
