dispatch: the retry bound holds over restarts and partitions

Cause: each incarnation began with an unspent budget, the ratio of its own requests in a sliding window and its share of the slack, although its predecessor may have spent the same in the same window. Among 77 incarnations, 75 found 0 spent at their first repeat; all divided the slack by 11, the right number. A single restart sufficed in the model: repeats early in a window are allowed by requests before it.

The share of the slack is used one window after the start, and only while the instance has had contact with the platform within half of the time after which others remove its row: an instance that is partitioned otherwise spends a share that the others have divided again.

Evidence: TestRetryBoundHoldsOverRestarts failed in 26 of 63 cases before (733 repeats for 1,865 requests, 433 allowed), none now. TestRetryBoundHoldsInPartitions gives 80 for 56 (71.2 allowed) without the check of contact. TestRetriesOfRunningInstancesAreAllowed: no repeat is denied while a sixth of the attempts fails for 8 s, and a fault of all attempts gets over 0.8 of the bound in 10 s (0.75 before).

--- a/dispatch/bounds_test.go
+++ b/dispatch/bounds_test.go
@@ -66,7 +66,7 @@
 			requests++
 		}
 		// All requests fail, and the instances ask for retries in turn, one every millisecond.
-		if budgets[ms%instances].takeRetry(bound, instances, now).Allowed {
+		if budgets[ms%instances].takeRetry(bound, bound.Slack/instances, now).Allowed {
 			spent = append(spent, now)
 		}
 	}
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -17,5 +17,7 @@
 // (priority.go); in an overload lower ranks, and accounts that flood a service, are refused first (admission.go).
 //
 // Limits that hold for all instances together, such as the rate of requests to a cold server and the
-// retry budget, are divided among the instances.
+// retry budget, are divided among the instances. An instance does not know what its previous incarnation
+// has spent, nor what instances spend that it can't reach. It therefore uses its share only once it has
+// run for the limit's window and while the others still count it.
 package dispatch
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -21,11 +21,14 @@
 	name      string
 	table     *dispatch.Table
 	restartAt time.Time
+	// unlisted means that the others may have divided the bounds without it.
+	unlisted bool
 }
 
 // fleetModel is a group of instances that are killed and started again while the requests of one service fail.
 type fleetModel struct {
 	bound     dispatch.RetryBound
+	cold      dispatch.ColdBound
 	route     lovageyard.Route
 	snapshot  *catalog.Snapshot
 	names     []string
@@ -63,7 +66,9 @@
 
 // start begins a new incarnation of an instance.
 func (m *fleetModel) start(i *modelInstance) {
-	i.table = dispatch.NewTable(dispatch.Settings{Self: i.name, Bounds: dispatch.Bounds{Retries: m.bound}})
+	i.table = dispatch.NewTable(dispatch.Settings{
+		Self: i.name, StartedAt: m.now, IsListed: func() bool { return !i.unlisted }, Bounds: dispatch.Bounds{Retries: m.bound, Cold: m.cold},
+	})
 	i.table.SetInstances(m.names, m.now)
 	i.table.SetCatalog(m.snapshot, m.now)
 }
@@ -211,3 +216,74 @@
 		}
 	}
 }
+
+// Instances that are partitioned from the platform serve on and know all others, while those remove them from the
+// list after a while and divide the slack without them.
+func TestRetryBoundHoldsInPartitions(t *testing.T) {
+	for _, rate := range []float64{0.5, 2, 25} {
+		t.Run(fmt.Sprint(rate, " requests a second"), func(t *testing.T) {
+			m := newFleetModel(1, 11)
+			m.route.Attempts = 8
+			cut, others := m.instances[:5], m.instances[5:]
+			for at := time.Duration(0); at < 70*time.Second; at += restartStep {
+				switch at {
+				case 30 * time.Second:
+					for _, i := range cut {
+						i.unlisted = true
+					}
+				case 40 * time.Second:
+					for _, i := range others {
+						i.table.SetInstances(m.names[5:], m.now)
+					}
+				}
+				failing := 0.0
+				if at >= 20*time.Second {
+					failing = 0.95
+				}
+				m.step(rate, failing)
+			}
+			m.checkBound(qt.New(t))
+		})
+	}
+}
+
+// A fault that is no longer than the window loses no retry while a sixth of the attempts fails, and all retries of a
+// fault in which every attempt fails come to most of the bound, also if it begins all at once.
+func TestRetriesOfRunningInstancesAreAllowed(t *testing.T) {
+	for _, rate := range []float64{2, 25} {
+		t.Run(fmt.Sprint(rate, " requests a second"), func(t *testing.T) {
+			c := qt.New(t)
+			m := newFleetModel(1, 11)
+			wanted, allowed := 0, 0
+			for at := time.Duration(0); at < 38*time.Second; at += restartStep {
+				m.now = m.now.Add(restartStep)
+				for _, i := range m.instances {
+					for range m.arrivals(rate * restartStep.Seconds()) {
+						i.table.AssignService(&m.route, m.now)
+						if at < 30*time.Second || m.random.Float64() > 1.0/6 {
+							continue
+						}
+						wanted++
+						if i.table.TakeRetry("desk", m.now).Allowed {
+							allowed++
+						}
+					}
+				}
+			}
+			c.Assert(allowed, qt.Equals, wanted)
+			m = newFleetModel(1, 11)
+			for at := time.Duration(0); at < 40*time.Second; at += restartStep {
+				failing := 0.0
+				if at >= 30*time.Second {
+					failing = 1
+				}
+				m.step(rate, failing)
+			}
+			steps := int(m.bound.Window / restartStep)
+			last := len(m.retries) - 1
+			bound := m.bound.Ratio*float64(sumOfWindow(m.requests, last, steps)) + m.bound.Slack
+			c.Assert(float64(sumOfWindow(m.retries, last, steps)) > 0.8*bound, qt.IsTrue)
+			c.Assert(float64(sumOfWindow(m.retries, last-4*steps/5, steps)) > 0.4*bound, qt.IsTrue, qt.Commentf("in the first 2 s"))
+		})
+	}
+}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -23,6 +23,11 @@
 	// unknown.
 	DemandShare float64
 	Seed        uint64
+	// StartedAt is when this instance started. The zero time means that it has always run.
+	StartedAt time.Time
+	// IsListed reports whether all other instances still count this one among those that share the
+	// Bounds; nil means that they do.
+	IsListed func() bool
 	Bounds
 }
 
@@ -207,6 +212,16 @@
 	known.Server = listed
 }
 
+// maySpendShare reports whether this instance may spend its share of a bound that holds for all
+// instances in any window. It may not for one window after its start, as its previous incarnation may
+// have spent the share, nor while others may have divided the bound without it.
+func (t *Table) maySpendShare(window time.Duration, now time.Time) bool {
+	if now.Sub(t.settings.StartedAt) < window {
+		return false
+	}
+	return t.settings.IsListed == nil || t.settings.IsListed()
+}
+
 // AssignService counts a client's request in the retry budget and returns the service that the
 // request is assigned to by the weights of the route's parts.
 func (t *Table) AssignService(route *lovageyard.Route, now time.Time) string {
@@ -232,7 +247,13 @@
 	if s == nil {
 		return RetryDecision{Instances: len(t.instances)}
 	}
-	return s.budget.takeRetry(t.settings.Retries, len(t.instances), now)
+	slack := 0.0
+	if t.maySpendShare(t.settings.Retries.Window, now) {
+		slack = t.settings.Retries.Slack / float64(len(t.instances))
+	}
+	d := s.budget.takeRetry(t.settings.Retries, slack, now)
+	d.Instances = len(t.instances)
+	return d
 }
 
 // Cancel undoes a choice for which no request was sent.
--- a/entry/log.go
+++ b/entry/log.go
@@ -119,8 +119,8 @@
 		return
 	}
 	fields["retry-allowed"] = d.Allowed
-	fields["retries-spent"] = d.Spent
-	fields["retries-limit"] = d.Limit
+	fields["retry-credit"] = d.Credit
+	fields["retry-slack"] = d.Slack
 	fields["retry-instances"] = d.Instances
 }
 
--- a/fleet/contact.go
+++ b/fleet/contact.go
@@ -67,6 +67,14 @@
 	return c.contacts.reported.Age(c.settings.Timer.Elapsed()) > c.maxContactAge()
 }
 
+// IsListed reports whether the other instances still count this one among those that share limits, which they do for
+// rowRemovalTimeout after they last heard from it. Without contact with the platform for half of that time, this
+// instance must assume that they will not for much longer: limits with windows of up to the other half hold then,
+// whatever the others spend later. It is safe for concurrent use.
+func (c *Control) IsListed() bool {
+	return c.ContactAge() <= rowRemovalTimeout/2
+}
+
 // untilContact returns how long a watch of a table may wait, so that the tables are read in turn.
 func (c *Control) untilContact(table string) time.Duration {
 	period := c.contactPeriod()
--- a/fleet/contact_test.go
+++ b/fleet/contact_test.go
@@ -291,3 +291,20 @@
 	r := newRelayGroup(t)
 	r.untilFollowing()
 }
+
+// An instance that the platform and its peers no longer answer must stop to count on its share of the limits before
+// the others divide them without it.
+func TestInstanceWithoutContactIsNotListed(t *testing.T) {
+	t.Parallel()
+	// Rows of silent instances are removed after 20 s, and the windows of limits are 10 s long.
+	const limit = 10 * time.Second
+	r := newRelayGroup(t)
+	r.untilFollowing()
+	r.c.Assert(r.follower.IsListed(), qt.IsTrue)
+	r.ofRelays.close()
+	r.store.SetFaults(fake.StoreFaults{Status: 503})
+	for end := r.clock.Now().Add(limit + time.Second); r.clock.Now().Before(end); {
+		r.advance()
+	}
+	r.c.Assert(r.follower.IsListed(), qt.IsFalse)
+}
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -164,6 +164,8 @@
 		DemandShare:   o.localDemandShare(),
 		Bounds:        o.bounds(),
 		Seed:          uint64(self.Incarnation),
+		StartedAt:     e.timer.Now(),
+		IsListed:      func() bool { return e.control.IsListed() },
 	})
 	observer := &entry.BackpressureObserver{Dispatch: e.dispatch, Timer: e.timer, Logger: e.logger}
 	e.link = link.New(platform.Headers{}, e.timer, observer)
