dispatch: the bound on cold servers holds over restarts

A cold server could get more requests in a second than all instances together may send: an incarnation did not know what its predecessor had sent in the same second, and used its share anew. In the model of 11 instances with a bound of 18.6, 19 and 20 requests arrived in a second with restarts each 0.3, 0.7 and 2 s, all at once or in turn (the first excess of each run is reported). Found by asking of each shared limit what a restart forgets.

An instance uses its share of the bound only once it has run for the limit's window (1.15 s) and while the others count it, as for retries. Instances that start spend most of that time reading the platform's tables.

TestColdBoundHoldsOverRestarts failed in all six cases before.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -126,11 +126,19 @@
 	case slices.Contains(r.Tried, b.Name):
 		return false
 	}
-	if r.Now.Before(b.ColdUntil) {
-		limit := coldQuota(t.settings.Cold, s.Service, b.Name, t.settings.Self, t.instances)
-		return b.cold.allows(limit, r.Now)
+	return t.coldBoundAllows(s, b, r.Now)
+}
+
+// coldBoundAllows reports whether the bound on cold servers allows a request to a server.
+func (t *Table) coldBoundAllows(s *service, b *server, now time.Time) bool {
+	if !now.Before(b.ColdUntil) {
+		return true
+	}
+	if !t.maySpendShare(coldRateWindow, now) {
+		return false
 	}
-	return true
+	limit := coldQuota(t.settings.Cold, s.Service, b.Name, t.settings.Self, t.instances)
+	return b.cold.allows(limit, now)
 }
 
 func (t *Table) assign(r Request, s *service, object uint64, c candidate) Choice {
