--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -156,10 +156,7 @@
 	b.inFlight++
 	t.reachabilityOf(b.FailureDomain).inFlight++
 	b.record.RecordSend(r.Now)
-	cold := r.Now.Before(b.ColdUntil)
-	if cold {
-		b.cold.record(r.Now)
-	}
+	cold := b.recordColdSend(r.Now)
 	counted := s.isCounted(r)
 	if counted {
 		s.admission.accept(r.priority(), r.Account, 1, r.Now)
--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -40,6 +40,15 @@
 	g.sends = append(g.sends, now)
 }
 
+// recordColdSend counts a request against the bound if the server is cold, and reports whether it is.
+func (s *server) recordColdSend(now time.Time) bool {
+	if !now.Before(s.ColdUntil) {
+		return false
+	}
+	s.cold.record(now)
+	return true
+}
+
 // coldQuota returns how many requests an instance may send to a cold server in one window. If the
 // bound allows at least one request for every instance, it is divided evenly; otherwise only the
 // instances that rank highest for the server may send one.
--- a/dispatch/cold_test.go
+++ b/dispatch/cold_test.go
@@ -85,3 +85,27 @@
 	}
 	return sends
 }
+
+// A request that is sent to a cold server once more, on a new connection, counts as one more request to it.
+func TestResendsCountAgainstTheColdBound(t *testing.T) {
+	c := qt.New(t)
+	m := newFleetModel(1, 1)
+	m.addColdServer(2)
+	m.start(m.instances[0])
+	m.now = m.now.Add(10 * time.Second)
+	table := m.instances[0].table
+	sent := 0
+	for range 20 {
+		choice := table.Choose(dispatch.Request{Now: m.now, Route: &m.route, Service: "desk", Deadline: m.now.Add(time.Minute)})
+		if choice.Refused {
+			break
+		}
+		sent++
+		if table.TakeResend(choice, m.now) {
+			sent++
+		}
+		table.Done(choice, dispatch.Outcome{At: m.now, Answered: true})
+	}
+	c.Assert(sent > 0, qt.IsTrue)
+	c.Assert(float64(sent) <= 2*m.cold.Excess+m.cold.Slack, qt.IsTrue, qt.Commentf("%d requests in an instant", sent))
+}
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -100,14 +100,15 @@
 }
 
 // TakeResend reports whether the request may be sent to the server of a choice once more, and
-// counts it against the server's rate limit if so.
+// counts it against the server's rate limit and the bound on cold servers if so.
 func (t *Table) TakeResend(c Choice, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.isInUse(c.server) || !c.server.record.Allows(now) {
+	if !t.isInUse(c.server) || !c.server.record.Allows(now) || !t.coldBoundAllows(c.service, c.server, now) {
 		return false
 	}
 	c.server.record.RecordSend(now)
+	c.server.recordColdSend(now)
 	return true
 }
 
