--- a/soak/check.go
+++ b/soak/check.go
@@ -18,9 +18,10 @@
 	leaveBound = drainWithin + 500*time.Millisecond
 	// applyBound is the time in which an instance must apply a configuration.
 	applyBound = 5 * time.Second
-	// coldWindow and retryWindow are the windows of the limits on cold servers and on retries.
+	// coldWindow and retryWindow are the windows of the limits on cold servers and on retries. An instance spends
+	// its share of the latter one window after its start, which has to be soon in a short run.
 	coldWindow  = time.Second
-	retryWindow = 10 * time.Second
+	retryWindow = 5 * time.Second
 	// maxViolations is the maximum number of violations that are reported.
 	maxViolations = 50
 )
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -90,7 +90,7 @@
 				c.Arrived("s", id)
 			}
 		}},
-		{"too many repeats", ".*repeat 13 in 10s with 5 requests", func(c *checker) {
+		{"too many repeats", ".*repeat 13 in 5s with 5 requests", func(c *checker) {
 			for i := range 5 {
 				c.RecordSend(fmt.Sprint(i), "127.0.0.1:1", false)
 			}
--- a/soak/main.go
+++ b/soak/main.go
@@ -32,6 +32,7 @@
 	Deadly       bool          `default:"true" negatable:"" help:"Send requests that end the servers which run them."`
 	Restores     bool          `default:"true" negatable:"" help:"Restore the store from copies that are some seconds old."`
 	Backpressure bool          `help:"Play servers that ask for less in their answers, beside faults of instances and of the store only."`
+	Restarts     bool          `help:"Kill instances in series, all at once and in turn, while servers reject requests."`
 	Shifts       bool          `help:"Play bursts and changes of the configuration only, and check in which regions requests run."`
 	Heavy        bool          `help:"Send large bodies, slow ones and pipelined requests besides, over two widths of links, to servers whose pace changes."`
 	Before       string        `help:"Commit of an older version, from which all instances start, are replaced in turn by this one, and go back again; there are no faults then."`
@@ -162,6 +163,9 @@
 	if o.Backpressure {
 		plan = backpressurePlan(seed, o.Span)
 	}
+	if o.Restarts {
+		plan = restartPlan(seed, o.Span, o.Instances, o.Servers)
+	}
 	if o.Shifts {
 		plan = shiftPlan(seed, o.Span)
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -64,7 +64,7 @@
 		"--regions", "north-1=north,north-2=north,south-1=south,south-2=south",
 		"--caller-address", "127.0.0.1:0", "--ready-address", "127.0.0.1:0", "--look-up-address", "127.0.0.1:0",
 		"--peer-address", "127.0.0.1:0", "--platform-address", i.store, "--keep-for", "1s", "--leave-within", "6s",
-		"--retry-ratio", fmt.Sprint(retryRatio), "--retry-slack", fmt.Sprint(retrySlack),
+		"--retry-ratio", fmt.Sprint(retryRatio), "--retry-slack", fmt.Sprint(retrySlack), "--retry-window", retryWindow.String(),
 		"--cold-excess", fmt.Sprint(coldExcess), "--cold-slack", fmt.Sprint(coldSlack),
 	}
 	if i.accounts {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -68,6 +68,12 @@
 	testSeeds(t, options{Backpressure: true, Span: 12 * time.Second}, []uint64{3})
 }
 
+// A run in which instances are killed in series while servers reject requests: an incarnation does not know what the
+// one before it has spent of the limits on retries and cold servers.
+func TestRestartSeedRunsWithoutViolations(t *testing.T) {
+	testSeeds(t, options{Restarts: true, Span: 16 * time.Second}, []uint64{defaultSeed})
+}
+
 // A run of bursts and changes of the configuration, in which servers refuse requests and no region's requests may
 // move.
 func TestShiftSeedRunsWithoutViolations(t *testing.T) {
