--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -287,3 +287,23 @@
 		})
 	}
 }
+
+// An incarnation learns a server's rate limit from its first answer. Until then it sends no more than the server
+// holds in its slots and its queue, so that this is what each restart may send beyond the limit.
+func TestRequestsBeforeTheFirstAnswerFitAServer(t *testing.T) {
+	c := qt.New(t)
+	const slots = 8
+	m := newFleetModel(1, 1)
+	m.snapshot.Servers = []catalog.Server{{
+		BackendServer: lovageyard.BackendServer{Name: "s", Service: "desk", Slots: slots, State: lovageyard.StateLive},
+	}}
+	m.start(m.instances[0])
+	sent := 0
+	for range 10 * slots {
+		r := dispatch.Request{Now: m.now, Route: &m.route, Service: "desk", Deadline: m.now.Add(time.Minute)}
+		if !m.instances[0].table.Choose(r).Refused {
+			sent++
+		}
+	}
+	c.Assert(sent > 0 && sent <= 3*slots, qt.IsTrue, qt.Commentf("%d requests without an answer", sent))
+}
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -522,3 +522,31 @@
 	s.advance(1900 * time.Millisecond)
 	c.Assert(float64(s.maxInWindow()) <= s.allowed(), qt.IsTrue, qt.Commentf("%d in a window, %.0f allowed", s.maxInWindow(), s.allowed()))
 }
+
+// Instances restart in series, all at once or in turn, also twice within a window. What an incarnation admits before
+// it knows what its predecessors have spent must not add up to more than the bound.
+func TestLimitHoldsOverRestartsInSeries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.SampledFrom(simulatedLimits).Draw(t, "limit")
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(6, 30).Draw(t, "instances"), limit)
+		s.warmUp()
+		s.rate = s.evenLoad(rapid.Float64Range(0.2, 4).Draw(t, "load") * limit)
+		s.advance(time.Duration(rapid.IntRange(0, 80).Draw(t, "tenths before")) * 100 * time.Millisecond)
+		atOnce := rapid.Bool().Draw(t, "at once")
+		period := time.Duration(rapid.IntRange(2, 60).Draw(t, "tenths between")) * 100 * time.Millisecond
+		for n := range rapid.IntRange(1, 8).Draw(t, "restarts") {
+			if atOnce {
+				for _, n := range s.nodes {
+					s.start(n)
+				}
+				s.calls = nil
+			} else {
+				s.start(s.nodes[n%len(s.nodes)])
+			}
+			s.advance(period)
+		}
+		if highest := float64(s.maxInWindow()); highest > s.allowed() {
+			t.Fatalf("%v in a window, %.0f allowed", highest, s.allowed())
+		}
+	})
+}
