link: the head of an answer is limited, and nothing is drained

Bytes that are no answer may come without end, in a head or a body.

Cause: the head was read by http.ReadResponse without any limit; only bodies had one. An answer whose body was too long was moreover read to its end, as Close of net/http's bodies does.

The head and the interim answers before it are limited to 16 KB together, on both ways (Send, Stream); bodies that are not wanted are not closed but end with their connection; an idle connection on which bytes arrive is closed within a second.

--- a/link/conn.go
+++ b/link/conn.go
@@ -26,7 +26,9 @@
 // conn is one connection to a backend server; it carries one request at a time.
 type conn struct {
 	net.Conn
+	// reader reads through head.
 	reader *bufio.Reader
+	head   *headLimiter
 	writer *bufio.Writer
 	// writes counts the writes that were started, successful or not.
 	writes atomic.Int64
@@ -65,8 +67,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, maxIdle: defaultMaxIdle}
-	c.reader = bufio.NewReaderSize(raw, readBufferBytes)
+	c := &conn{Conn: raw, head: &headLimiter{reader: raw}, maxIdle: defaultMaxIdle}
+	c.reader = bufio.NewReaderSize(c.head, readBufferBytes)
 	c.writer = bufio.NewWriterSize(c, writeBufferBytes)
 	return c, nil
 }
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"syscall"
 	"time"
 
@@ -102,12 +104,9 @@
 		return nil, false, err
 	}
 	for range maxStrayResponses {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHead(request)
 		if err != nil {
-			return nil, false, errors.Wrap(err, "answer")
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
+			return nil, false, err
 		}
 		meta := t.codec.Answer(response)
 		isOther := meta.ID != "" && meta.ID != r.ID
@@ -127,6 +126,29 @@
 	return nil, false, errors.New("answer: only answers to other requests came")
 }
 
+// readHead reads the head of the next final response, and passes interim responses to the client trace
+// of the request. All of them together are limited to maxHeadBytes.
+func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	c.head.beginHead()
+	defer c.head.endHead()
+	trace := httptrace.ContextClientTrace(r.Context())
+	for {
+		response, err := http.ReadResponse(c.reader, r)
+		if err != nil {
+			return nil, errors.Wrap(err, "answer")
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+		if trace == nil || trace.Got1xxResponse == nil {
+			continue
+		}
+		if err := trace.Got1xxResponse(response.StatusCode, textproto.MIMEHeader(response.Header)); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // awaitResponse waits for the first byte of a response.
 func (c *conn) awaitResponse() error {
 	_, err := c.reader.Peek(1)
@@ -139,9 +161,9 @@
 	return errors.Wrap(err, "answer")
 }
 
-// readBody reads the rest of a response; an incomplete body is an error.
+// readBody reads the rest of a response; an incomplete body is an error. The body is not closed: that would
+// read a body that is too long to its end, and the connection is closed after an error.
 func readBody(response *http.Response, meta lovageyard.ResponseMeta, reserve Reserve) (*Response, error) {
-	defer response.Body.Close()
 	complete := &Response{Status: response.StatusCode, Header: response.Header, Meta: meta}
 	if response.Body == http.NoBody {
 		return complete, nil
--- a/link/idle.go
+++ b/link/idle.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// CloseExpired closes the connections that have been idle for too long to be reused, and begins to
-// replace those to distant servers that are used regularly. It should be called every second.
+// CloseExpired closes the connections that have been idle for too long to be reused, that the server has
+// closed or on which bytes have arrived that belong to no request, and begins to replace those to distant servers that are used regularly. It should be called every second.
 func (t *Transport) CloseExpired(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -80,7 +80,7 @@
 	for p, list := range t.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if c.isReusable(now, maxIdleTime) {
+			if c.isReusable(now, maxIdleTime) && c.isIdle() {
 				kept = append(kept, c)
 				continue
 			}
--- a/link/stream.go
+++ b/link/stream.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"net/textproto"
 
 	"github.com/pkg/errors"
 
@@ -64,7 +62,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastTime) })
 	sentAt := t.timer.Now()
 	writeResult := startStreamWrite(c, r)
-	response, err := c.readHead(r)
+	response, err := c.readFirstHead(r)
 	if err != nil {
 		stop()
 		return nil, c.abort(ctx, before, err)
@@ -81,6 +79,14 @@
 	return response, nil
 }
 
+// readFirstHead waits for the response to a request and reads its head.
+func (c *conn) readFirstHead(r *http.Request) (*http.Response, error) {
+	if err := c.awaitResponse(); err != nil {
+		return nil, err
+	}
+	return c.readHead(r)
+}
+
 // startStreamWrite writes a request and sends the result on the returned channel. A request with a
 // body is written while the response is read.
 func startStreamWrite(c *conn, r *http.Request) <-chan error {
@@ -109,30 +115,6 @@
 	return b.ReadCloser.Read(p)
 }
 
-// readHead reads the header of the final response, and passes interim responses to the client trace
-// of the request.
-func (c *conn) readHead(r *http.Request) (*http.Response, error) {
-	if err := c.awaitResponse(); err != nil {
-		return nil, err
-	}
-	trace := httptrace.ContextClientTrace(r.Context())
-	for {
-		response, err := http.ReadResponse(c.reader, r)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-		if trace == nil || trace.Got1xxResponse == nil {
-			continue
-		}
-		if err := trace.Got1xxResponse(response.StatusCode, textproto.MIMEHeader(response.Header)); err != nil {
-			return nil, err
-		}
-	}
-}
-
 // streamBody is the body of a streamed response; its connection is kept for reuse after the body
 // has ended.
 type streamBody struct {
