transfer, peer, platform: replies and requests between processes are limited

A peer or the store that sends a reply without end would fill an instance's memory as a server could: bodies of peers' replies and requests had no limit, and headers of 10 MB were accepted.

Replies of peers are limited to 16 MB, their requests, which carry no rows, to 1 MB, headers of peers and of the store to 16 KB. TestEndlessBodyIsCut did not compile before, as there was no limit to set.

--- a/lovageyardd/edge_serve.go
+++ b/lovageyardd/edge_serve.go
@@ -24,6 +24,8 @@
 	edgeIdleTimeout = 90 * time.Second
 	// edgeMaxHeaderBytes limits the size of a request's headers; net/http adds 4 KiB.
 	edgeMaxHeaderBytes = 16 << 10
+	// maxPeerRequestBytes limits the requests of peers, which carry heartbeats, cursors and reports but no rows.
+	maxPeerRequestBytes = 1 << 20
 )
 
 // serveAll starts to serve on all sockets.
@@ -72,7 +74,7 @@
 func (e *edge) peerServices() http.Handler {
 	services := http.NewServeMux()
 	for _, s := range []wire.TwirpServer{wire.NewFleetServer(e.control), wire.NewQuotaServer(e.limiter)} {
-		services.Handle(s.PathPrefix(), s)
+		services.Handle(s.PathPrefix(), http.MaxBytesHandler(s, maxPeerRequestBytes))
 	}
 	services.Handle(wire.DetourPathPrefix, e.detours.Handler())
 	return services
--- a/peer/client.go
+++ b/peer/client.go
@@ -23,6 +23,10 @@
 	// keepAliveInterval is the interval of TCP keep-alive probes, which detect a peer that has stopped
 	// answering while a call waits.
 	keepAliveInterval = time.Second
+	// maxReplyBytes limits the body of a reply, which may contain all of the platform's tables, and
+	// maxReplyHeadBytes its headers.
+	maxReplyBytes     = 16 << 20
+	maxReplyHeadBytes = 16 << 10
 	dialTimeout       = 500 * time.Millisecond
 	idleTimeout       = 10 * time.Second
 )
@@ -38,7 +42,7 @@
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2},
 	}
-	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxReplyHeadBytes}
 	return &Client{http: &http.Client{Transport: transport}}
 }
 
@@ -46,6 +50,7 @@
 func (c *Client) transferClient(wait time.Duration) transfer.Client {
 	return transfer.Client{
 		HTTP:     c.http,
+		MaxBytes: maxReplyBytes,
 		Timeouts: transfer.Timeouts{ResponseHeader: wait + callTimeout, Idle: callTimeout, Total: wait + maxCallDuration},
 	}
 }
--- a/transfer/client.go
+++ b/transfer/client.go
@@ -26,8 +26,13 @@
 type Client struct {
 	HTTP     *http.Client
 	Timeouts Timeouts
+	// MaxBytes limits the response body, of which longer ones end with an error; zero means no limit.
+	MaxBytes int64
 }
 
+// errTooLong ends a response body that is longer than MaxBytes.
+var errTooLong = errors.New("the answer is too long")
+
 // TimeoutError is the error of an exchange that was aborted by ResponseHeader or Idle. It
 // implements net.Error's Timeout.
 type TimeoutError struct {
@@ -62,7 +67,10 @@
 		return nil, w.timeoutError(err)
 	}
 	w.recordProgress(c.Timeouts.Idle, 0)
-	response.Body = &responseBody{progressReader: progressReader{ReadCloser: response.Body, watchdog: w, timeout: c.Timeouts.Idle}, cancel: cancel}
+	response.Body = &responseBody{
+		progressReader: progressReader{ReadCloser: response.Body, watchdog: w, timeout: c.Timeouts.Idle},
+		cancel:         cancel, maxBytes: c.MaxBytes,
+	}
 	return response, nil
 }
 
@@ -137,6 +145,8 @@
 type responseBody struct {
 	progressReader
 	cancel context.CancelFunc
+	// maxBytes is the limit on the body, or 0.
+	maxBytes int64
 }
 
 // Read reads from the underlying body, or returns a *TimeoutError if the exchange was aborted.
@@ -145,6 +155,9 @@
 	if n > 0 {
 		b.watchdog.recordProgress(b.timeout, n)
 	}
+	if b.maxBytes > 0 && b.watchdog.received.Load() > b.maxBytes {
+		return n, errTooLong
+	}
 	return n, b.watchdog.timeoutError(err)
 }
 
--- a/transfer/client_test.go
+++ b/transfer/client_test.go
@@ -135,3 +135,24 @@
 	_, err = io.ReadAll(response.Body)
 	assertTimeout(c, err, 0)
 }
+
+// A body that does not end must not fill the memory of the reader.
+func TestEndlessBodyIsCut(t *testing.T) {
+	c := qt.New(t)
+	const limit = 1 << 20
+	block := make([]byte, 64<<10)
+	url := serve(c, func(w http.ResponseWriter, _ *http.Request) {
+		for {
+			if _, err := w.Write(block); err != nil {
+				return
+			}
+		}
+	})
+	client := transfer.Client{HTTP: http.DefaultClient, Timeouts: transfer.Timeouts{ResponseHeader: long, Idle: long, Total: long}, MaxBytes: limit}
+	response, err := get(c, client, url)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.ErrorMatches, "the answer is too long")
+	c.Assert(len(body) <= 2*limit, qt.IsTrue, qt.Commentf("%d bytes", len(body)))
+}
