link: an answer belongs to one attempt of a request

Cause: answers are told apart by the ID of the request, which all its attempts share. A connection now records the requests that were refused or failed on it, and carries no further attempt of these; after 64 of them it is closed. The rule is in the transport, so that it holds for attempts through peers as well. Streams (serve) have no IDs.

--- a/link/conn.go
+++ b/link/conn.go
@@ -20,6 +20,9 @@
 	writeBufferBytes = 4 << 10
 )
 
+// maxFailedIDs is the number of failed requests after which a connection is closed, which bounds its memory.
+const maxFailedIDs = 64
+
 // pastTime is a deadline that makes pending reads and writes fail immediately.
 var pastTime = time.Unix(1, 0)
 
@@ -38,6 +41,10 @@
 	// be reused.
 	idleSince time.Time
 	maxIdle   time.Duration
+	// failedIDs are the IDs of requests that were refused or failed on the connection. An answer has the
+	// ID of the request and not of the attempt, so that a second, late answer to such an attempt would be taken
+	// for the answer to the next one.
+	failedIDs []string
 }
 
 // Write counts the write before any byte can be sent.
@@ -84,6 +91,15 @@
 	return failure
 }
 
+// recordFailure records a request that was refused or failed, and reports whether the connection can record
+// another one.
+func (c *conn) recordFailure(id string) bool {
+	if id != "" {
+		c.failedIDs = append(c.failedIDs, id)
+	}
+	return len(c.failedIDs) < maxFailedIDs
+}
+
 // isIdle reports whether an idle connection is still open and has no unexpected bytes to read.
 func (c *conn) isIdle() bool {
 	if c.reader.Buffered() > 0 {
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -121,7 +121,11 @@
 			continue
 		}
 		framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-		return complete, framed && !response.Close && c.reader.Buffered() == 0, nil
+		reusable := framed && !response.Close && c.reader.Buffered() == 0
+		if meta.NotRun || response.StatusCode >= http.StatusInternalServerError {
+			reusable = c.recordFailure(r.ID) && reusable
+		}
+		return complete, reusable, nil
 	}
 	return nil, false, errors.New("answer: only answers to other requests came")
 }
--- a/link/idle.go
+++ b/link/idle.go
@@ -2,12 +2,13 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 )
 
 // takeIdle removes and returns an idle connection to an endpoint, or nil if there is none that may
-// be reused.
-func (t *Transport) takeIdle(p endpoint, idempotent bool) *conn {
+// be reused for a request with an ID.
+func (t *Transport) takeIdle(p endpoint, idempotent bool, id string) *conn {
 	limit := maxIdleTime
 	if !idempotent {
 		limit = nonIdempotentMaxIdle
@@ -15,7 +16,7 @@
 	now := t.timer.Now()
 	t.recordUse(p, limit, now)
 	for {
-		c := t.popIdle(p)
+		c := t.popIdle(p, id)
 		if c == nil {
 			return nil
 		}
@@ -26,17 +27,19 @@
 	}
 }
 
-func (t *Transport) popIdle(p endpoint) *conn {
+// popIdle removes the connection that was used last, as it has been idle for the shortest time, among those
+// on which no request with the ID has failed.
+func (t *Transport) popIdle(p endpoint, id string) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := t.idle[p]
-	if len(list) == 0 {
-		return nil
+	for n := len(list) - 1; n >= 0; n-- {
+		if c := list[n]; !slices.Contains(c.failedIDs, id) {
+			t.idle[p] = slices.Delete(list, n, n+1)
+			return c
+		}
 	}
-	// The connection used last has been idle for the shortest time.
-	c := list[len(list)-1]
-	t.idle[p] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // putIdle keeps a connection for reuse after its response has ended.
--- a/link/link.go
+++ b/link/link.go
@@ -160,7 +160,7 @@
 // Send makes one attempt and reads the whole response. The error is a *lovageyard.RequestError. If
 // ctx is done, the connection is closed, which makes most servers abort the request.
 func (t *Transport) Send(ctx context.Context, r Request) (*Response, error) {
-	c := t.takeIdle(r.endpoint(), r.Idempotent)
+	c := t.takeIdle(r.endpoint(), r.Idempotent, r.ID)
 	if c == nil {
 		return t.sendOnNewConn(ctx, r)
 	}
--- a/link/stream.go
+++ b/link/stream.go
@@ -20,7 +20,7 @@
 	r.URL.Scheme = "http"
 	r.URL.Host = s.Address
 	replayable := mayResend != nil && hasNoBody(r)
-	idle := t.takeIdle(endpointOf(s), replayable)
+	idle := t.takeIdle(endpointOf(s), replayable, "")
 	if idle == nil {
 		return t.streamOnNewConn(r, s)
 	}
