pipeline, entry: an instance that leaves answers all pipelined requests that it runs

Cause: the handler closed connections from SIGTERM on, and the pipeline ran requests ahead until Shutdown, half of the grace period later; Shutdown then closed connections with run-ahead requests as well.

The pipeline stops before responses begin to close. A response closes its connection only if none behind it runs, which the handler asks (MayClose) and which is decided together with starting requests; then none behind it is started. Before Shutdown the instance waits until run-ahead responses are written. What counts the requests is guarded by a lock, so that none is added once the wait has begun.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -56,7 +56,7 @@
 	Return(a *lovageyard.Account)
 }
 
-// Settings are the dependencies of a Handler; all but Memory, MinBodyRate and Limits are required.
+// Settings are the dependencies of a Handler; all but Memory, MinBodyRate, Limits and MayClose are required.
 type Settings struct {
 	Source     Source
 	Codec      Codec
@@ -73,6 +73,8 @@
 	// MinBodyRate is the rate in bytes per second below which the transfer of a body is ended; 0 means none.
 	MinBodyRate int64
 	Limits      AgeLimits
+	// MayClose reports whether the response to a request may close its connection; nil means that it may.
+	MayClose func(r *http.Request) bool
 }
 
 // Handler forwards callers' requests to backend servers.
@@ -97,7 +99,7 @@
 		began:   h.Timer.Now(),
 		meta:    h.Codec.Request(r.Header),
 	}
-	if view.Leaving {
+	if view.Leaving && (h.MayClose == nil || h.MayClose(r)) {
 		w.Header().Set("Connection", "close")
 	}
 	x.serve()
--- a/lovageyardd/edge.go
+++ b/lovageyardd/edge.go
@@ -328,11 +328,14 @@
 	e.logger.Info("leaving")
 	startedAt := e.timer.Now()
 	closeAt := startedAt.Add(time.Duration(closeAfterShare * float64(e.options.LeaveWithin)))
+	// Responses close their connections from now on, so that no request behind them may be sent to a server.
+	e.pipeline.Stop()
 	e.control.Leave(closeAt)
 	e.wait(time.Duration(refuseAfterShare * float64(e.options.LeaveWithin)))
 	e.control.RefuseRequests()
 	shutdownCtx, cancel := context.WithTimeout(context.Background(), closeAt.Sub(e.timer.Now()))
 	defer cancel()
+	e.pipeline.Drain(shutdownCtx)
 	if err := e.callerServer.Shutdown(shutdownCtx); err != nil {
 		e.logger.WithError(err).Warn("closing connections with requests still in flight")
 		e.callerServer.Close()
--- a/lovageyardd/edge_serve.go
+++ b/lovageyardd/edge_serve.go
@@ -45,6 +45,7 @@
 		Memory:      e.memory,
 		MinBodyRate: o.MinBodyRate,
 		Limits:      o.ageLimits(),
+		MayClose:    pipeline.MayClose,
 	})
 	e.callerServer = newEdgeServer(handler)
 	if o.MinBodyRate > 0 {
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -262,6 +262,7 @@
 func (c *conn) cancelFrom(i int) {
 	for _, r := range c.queue[i:] {
 		r.cancel()
+		r.settle()
 	}
 }
 
@@ -313,6 +314,19 @@
 	c.cancelFrom(slices.Index(c.queue, r) + 1)
 }
 
+// mayClose implements MayClose.
+func (c *conn) mayClose(r *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// A request that net/http has reached is not in the queue; then all others are behind it.
+	own := slices.IndexFunc(c.queue, func(q *request) bool { return q.request == r })
+	if own+1 < len(c.queue) {
+		return false
+	}
+	c.blocked = true
+	return true
+}
+
 // lookAhead starts the complete requests among the held bytes. The caller holds c.mu.
 func (c *conn) lookAhead() {
 	for c.phase == phaseServing && !c.blocked && !c.passThrough && !c.closed && !c.pipeline.stopping.Load() &&
@@ -330,13 +344,16 @@
 			c.blocked = true
 			return
 		}
+		if !c.pipeline.admit() {
+			return
+		}
 		c.parsed += end
 		c.blocked = r.Close
 		c.start(r)
 	}
 }
 
-// start passes a request to the handler. The caller holds c.mu.
+// start passes an admitted request to the handler. The caller holds c.mu.
 func (c *conn) start(r *http.Request) {
 	// Requests of a connection have the same values in their contexts.
 	ctx, cancel := context.WithCancel(context.WithoutCancel(c.current.Context()))
@@ -354,7 +371,6 @@
 			"ahead":  len(c.queue),
 		}).Debug("running a pipelined request ahead")
 	}
-	p.running.Add(1)
 	go ahead.run()
 }
 
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -40,10 +40,14 @@
 	Settings
 	// maxHeadBytes is the size up to which net/http accepts the head of a request.
 	maxHeadBytes int
-	// stopping is set when the server shuts down; no further requests are run ahead.
+	// stopping is set when the server leaves; no further requests are run ahead. It is set with mu held,
+	// so that nothing is added to the groups afterwards.
 	stopping atomic.Bool
-	// running counts the handlers of requests run ahead.
-	running sync.WaitGroup
+	mu       sync.Mutex
+	// running counts the handlers of requests run ahead, and undelivered those requests whose responses are
+	// neither written nor cancelled.
+	running     sync.WaitGroup
+	undelivered sync.WaitGroup
 }
 
 // New returns a Pipeline for one server.
@@ -69,7 +73,7 @@
 		}
 		return context.WithValue(ctx, connKey{}, c)
 	}
-	s.RegisterOnShutdown(func() { p.stopping.Store(true) })
+	s.RegisterOnShutdown(p.Stop)
 }
 
 // Listener returns a listener whose connections can be read ahead.
@@ -77,12 +81,43 @@
 	return &listener{Listener: l, pipeline: p}
 }
 
+// Stop makes connections run no further requests ahead. It is called before responses close their connections.
+func (p *Pipeline) Stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopping.Store(true)
+}
+
+// admit counts a request that is to be run ahead, unless the server leaves.
+func (p *Pipeline) admit() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopping.Load() {
+		return false
+	}
+	p.running.Add(1)
+	p.undelivered.Add(1)
+	return true
+}
+
+// Drain stops and waits until the responses to all requests run ahead are written, or until ctx ends. It is called
+// before Shutdown of the server, which closes each connection after the response in progress.
+func (p *Pipeline) Drain(ctx context.Context) {
+	p.Stop()
+	await(ctx, &p.undelivered)
+}
+
 // Close waits for the handlers of requests run ahead, or until ctx ends. The server has to be closed before.
 func (p *Pipeline) Close(ctx context.Context) {
-	p.stopping.Store(true)
+	p.Stop()
+	await(ctx, &p.running)
+}
+
+// await waits for a group, or until ctx ends.
+func await(ctx context.Context, group *sync.WaitGroup) {
 	ended := make(chan struct{})
 	go func() {
-		p.running.Wait()
+		group.Wait()
 		close(ended)
 	}()
 	select {
@@ -91,6 +126,13 @@
 	}
 }
 
+// MayClose reports whether the response to a request may close its connection: not if requests behind it are run
+// already, as their responses would be lost. If it may, none behind it is started from now on.
+func MayClose(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	return !ok || c.mayClose(r)
+}
+
 // ServeHTTP passes a request to the handler, or writes the response if the request was run ahead.
 func (p *Pipeline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, ok := r.Context().Value(connKey{}).(*conn)
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"runtime/debug"
 	"strings"
+	"sync"
 )
 
 // request is a request that is run ahead.
@@ -16,6 +17,7 @@
 	// done is closed when the handler has ended; panicked is then the value of its panic, or nil.
 	done     chan struct{}
 	panicked any
+	settled  sync.Once
 }
 
 func newRequest(c *conn, r *http.Request, cancel context.CancelFunc) *request {
@@ -28,6 +30,11 @@
 	}
 }
 
+// settle records that the response is written, or that it never will be.
+func (r *request) settle() {
+	r.settled.Do(r.conn.pipeline.undelivered.Done)
+}
+
 // run calls the handler. As by net/http, the context is cancelled when the handler has ended.
 func (r *request) run() {
 	p := r.conn.pipeline
@@ -51,6 +58,7 @@
 // deliver writes the response to w, as far as it is complete, and then what the handler still writes. The
 // handler's panic is repeated, by which net/http closes the connection.
 func (r *request) deliver(w http.ResponseWriter, delivered *http.Request) {
+	defer r.settle()
 	// The request was matched by its position on the connection.
 	if delivered.Method != r.request.Method || delivered.RequestURI != r.request.RequestURI {
 		r.cancel()
