entry: a caller that ends its sending side gets no empty success

The handler now answers in each case: the server's complete answer if there is one, otherwise 502 if the request may have run and 503 if it has not. To a caller that has left this is written in vain. Log lines and counters stay.

TestClientThatEndsItsSendingSideGetsNoEmptySuccess failed before in all three cases (200 in place of 200 with the answer, 503 and 502).

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -21,6 +21,7 @@
 	switch {
 	case x.request.Context().Err() != nil:
 		x.log(logrus.InfoLevel, "client gone", statusClientGone, a.reason(), a)
+		x.answerGone(a)
 	case a.answer != nil && a.answer.Meta.NotRun && !x.ran:
 		x.forwardRefusal(a)
 	case a.isForwardable():
@@ -55,8 +56,33 @@
 	return a.choice.Expected / 2
 }
 
+// answerGone responds to a client that has disconnected or has only closed its sending side, which net/http does not
+// tell apart. Without a response, net/http would send the latter an empty 200.
+func (x *exchange) answerGone(a *attempt) {
+	switch {
+	case a.isForwardable():
+		_ = x.writeAnswer(a)
+	case x.ran:
+		x.writeError(http.StatusBadGateway, a.reason(), 0)
+	default:
+		x.writeError(http.StatusServiceUnavailable, a.reason(), immediateRetry)
+	}
+}
+
 // forwardAnswer sends the server's complete answer to the client.
 func (x *exchange) forwardAnswer(a *attempt) {
+	err := x.writeAnswer(a)
+	reason := a.choice.Reason
+	if err != nil {
+		reason = "writing the response failed: " + err.Error()
+	}
+	x.log(logrus.InfoLevel, decision.OutcomeAnswered, a.answer.Status, reason, a)
+	x.count(a.answer.Status)
+	x.observeLatency()
+}
+
+// writeAnswer writes the server's complete answer.
+func (x *exchange) writeAnswer(a *attempt) error {
 	h := x.writer.Header()
 	for name, values := range link.EndToEndHeaders(a.answer.Header) {
 		h[name] = values
@@ -70,14 +96,7 @@
 	}
 	x.releaseBody(a.answer.Body)
 	x.writer.WriteHeader(a.answer.Status)
-	err := x.writeBody(a.answer.Body)
-	reason := a.choice.Reason
-	if err != nil {
-		reason = "writing the response failed: " + err.Error()
-	}
-	x.log(logrus.InfoLevel, decision.OutcomeAnswered, a.answer.Status, reason, a)
-	x.count(a.answer.Status)
-	x.observeLatency()
+	return x.writeBody(a.answer.Body)
 }
 
 func (x *exchange) observeLatency() {
@@ -112,6 +131,12 @@
 }
 
 func (x *exchange) fail(status int, reason string, retryAfter time.Duration) {
+	x.writeError(status, reason, retryAfter)
+	x.count(status)
+}
+
+// writeError writes a response of this instance.
+func (x *exchange) writeError(status int, reason string, retryAfter time.Duration) {
 	verdict := lovageyard.VerdictNotRun
 	if x.ran {
 		verdict = lovageyard.VerdictMayHaveRun
@@ -130,7 +155,6 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(status)
 	_, _ = x.writer.Write(body)
-	x.count(status)
 }
 
 func (x *exchange) count(status int) {
