--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -217,6 +217,29 @@
 	}
 }
 
+// A change of the bound's window must not give instances their spent shares again.
+func TestChangedRetryWindowGivesNothingBack(t *testing.T) {
+	c := qt.New(t)
+	m := newFleetModel(1, 1)
+	m.now = m.now.Add(m.bound.Window)
+	table := m.instances[0].table
+	take := func() int {
+		n := 0
+		for table.TakeRetry("desk", m.now).Allowed {
+			n++
+		}
+		return n
+	}
+	c.Assert(table.TakeRetry("desk", m.now).Allowed, qt.IsTrue)
+	m.now = m.now.Add(9 * time.Second)
+	c.Assert(take() > 0, qt.IsTrue)
+	changed := m.bound
+	changed.Window = 2 * time.Second
+	table.SetBounds(dispatch.Bounds{Retries: changed})
+	m.now = m.now.Add(100 * time.Millisecond)
+	c.Assert(take(), qt.Equals, 0)
+}
+
 // Instances that are partitioned from the platform serve on and know all others, while those remove them from the
 // list after a while and divide the slack without them.
 func TestRetryBoundHoldsInPartitions(t *testing.T) {
--- a/link/idle.go
+++ b/link/idle.go
@@ -69,8 +69,9 @@
 	}
 }
 
-// CloseExpired closes the connections that have been idle for too long to be reused, that the server has
-// closed or on which bytes have arrived that belong to no request, and begins to replace those to distant servers that are used regularly. It should be called every second.
+// CloseExpired closes the connections that have been idle for too long to be reused, that the server
+// has closed, or on which bytes have arrived that belong to no request. It begins to replace those to
+// distant servers that are used regularly. It should be called every second.
 func (t *Transport) CloseExpired(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
