--- a/integration/edge_test.go
+++ b/integration/edge_test.go
@@ -142,7 +142,7 @@
 	e.command = exec.Command(filepath.Join(bin, "lovageyardd"), "edge",
 		"--instance", e.name, "--failure-domain", "north-1", "--region", "north", "--regions", "north-1=north",
 		"--caller-address", loopback, "--ready-address", loopback, "--look-up-address", loopback, "--peer-address", loopback,
-		"--platform-address", e.platform, "--leave-within", e.leaveWithin.String(), "--retry-slack", "1000")
+		"--platform-address", e.platform, "--leave-within", e.leaveWithin.String(), "--retry-ratio", "10", "--retry-slack", "1000")
 	e.command.Args = append(e.command.Args, e.extraArgs...)
 	e.settings = filepath.Join(e.c.TempDir(), "settings.json")
 	e.c.Assert(os.WriteFile(e.settings, []byte("{}"), 0o600), qt.IsNil)
