link: a connection carries no two requests that its answers can't tell apart

Callers of serve could get another caller's answer, or "not run" for a charge that runs: a server's second answer that came after the next request was sent on the connection was taken for that request's answer. On the way of edge the same happened if a caller used an ID again after a success, sent none, or a server left it out.

Cause: answers were told apart by an ID that was not unique on its connection. serve gave requests no ID, and edge remembered only IDs that had been refused or failed.

Now a connection carries no two requests with one ID, an answer without an ID counts only on a connection that has carried nothing else, and such a connection is closed. Stream gives each attempt an ID (Lovageyard-Attempt), which backend servers repeat; connections to servers that don't carry one request. Both ways share readAnswerHead.

Tests that ask for reuse of connections keep their checks; their stand-ins identify their answers, as servers have to.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -143,9 +143,12 @@
 	return h
 }
 
-// newBackend starts a scripted backend server and returns its address.
+// newBackend starts a scripted backend server, whose answers repeat the ID of the attempt, and returns its address.
 func newBackend(t *testing.T, f http.HandlerFunc) string {
-	s := httptest.NewServer(f)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(lovageyard.AttemptHeader, r.Header.Get(lovageyard.AttemptHeader))
+		f(w, r)
+	}))
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String()
 }
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -85,6 +85,9 @@
 	cancelled chan struct{}
 	// attempts counts the calls of Send.
 	attempts atomic.Int64
+	// transport, if it is set, sends all requests, to the server at address.
+	transport *link.Transport
+	address   string
 }
 
 func (n *network) cut(o *outage) { n.outage.Store(o) }
@@ -116,6 +119,10 @@
 	if r.MaySend != nil && !r.MaySend() {
 		return nil, lovageyard.NotRun("withheld", nil)
 	}
+	if n.transport != nil {
+		r.ServerAddress = n.address
+		return n.transport.Send(ctx, r)
+	}
 	if r.Server == "slow" {
 		<-ctx.Done()
 		n.cancelled <- struct{}{}
--- a/link/conn.go
+++ b/link/conn.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -20,8 +22,11 @@
 	writeBufferBytes = 4 << 10
 )
 
-// maxFailedIDs is the number of failed requests after which a connection is closed, which bounds its memory.
-const maxFailedIDs = 64
+// maxRequests is the number of requests after which a connection is closed, which bounds the memory for their IDs.
+const maxRequests = 256
+
+// idSeed is the seed of the hashes of IDs.
+var idSeed = maphash.MakeSeed()
 
 // pastTime is a deadline that makes pending reads and writes fail immediately.
 var pastTime = time.Unix(1, 0)
@@ -41,10 +46,9 @@
 	// be reused.
 	idleSince time.Time
 	maxIdle   time.Duration
-	// failedIDs are the IDs of requests that were refused or failed on the connection. An answer has the
-	// ID of the request and not of the attempt, so that a second, late answer to such an attempt would be taken
-	// for the answer to the next one.
-	failedIDs []string
+	// requests are the hashes of the IDs of all requests that the connection has carried. It carries no two with
+	// the same ID: a second, late answer to the one would be taken for the answer to the other.
+	requests []uint64
 }
 
 // Write counts the write before any byte can be sent.
@@ -91,13 +95,26 @@
 	return failure
 }
 
-// recordFailure records a request that was refused or failed, and reports whether the connection can record
-// another one.
-func (c *conn) recordFailure(id string) bool {
-	if id != "" {
-		c.failedIDs = append(c.failedIDs, id)
-	}
-	return len(c.failedIDs) < maxFailedIDs
+// recordRequest records a request that the connection is about to carry.
+func (c *conn) recordRequest(id string) {
+	c.requests = append(c.requests, maphash.String(idSeed, id))
+}
+
+// mayCarry reports whether an answer to a request with an ID could be told from the answers to the requests that the
+// connection has carried.
+func (c *conn) mayCarry(id string) bool {
+	return len(c.requests) == 0 || id != "" && !slices.Contains(c.requests, maphash.String(idSeed, id))
+}
+
+// identifies reports whether an answer with an ID belongs to the current request, whose ID is want. An answer without
+// an ID can only belong to the first request.
+func (c *conn) identifies(got, want string) bool {
+	return got == want || got == "" && len(c.requests) == 1
+}
+
+// mayCarryMore reports whether the connection may carry a further request after an answer with an ID.
+func (c *conn) mayCarryMore(id string) bool {
+	return id != "" && len(c.requests) < maxRequests
 }
 
 // isIdle reports whether an idle connection is still open and has no unexpected bytes to read.
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -19,11 +19,15 @@
 // response.
 var errClosedBeforeResponse = errors.New("the connection was closed before an answer")
 
+// errUnidentified reports a response without an ID on a connection that has carried several requests.
+var errUnidentified = errors.New("the answer does not say to which request it belongs")
+
 // errTooLong reports a response whose body is longer than maxBodyBytes.
 var errTooLong = errors.New("the answer is too long to be held")
 
 // roundTrip sends the request on a connection and reads the whole response.
 func (t *Transport) roundTrip(ctx context.Context, c *conn, r Request) (*Response, error) {
+	c.recordRequest(r.ID)
 	before := c.writes.Load()
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastTime) })
 	response, reusable, err := t.writeAndRead(c, r)
@@ -97,37 +101,64 @@
 	return c.writer.Flush()
 }
 
-// readResponse reads responses up to the one that belongs to the request. It reports whether the
-// connection may carry another request.
+// readResponse reads the response that belongs to the request. It reports whether the connection may carry
+// another request.
 func (t *Transport) readResponse(c *conn, request *http.Request, r Request, sentAt time.Time) (*Response, bool, error) {
-	if err := c.awaitResponse(); err != nil {
+	response, meta, err := t.readAnswerHead(c, request, r.ID)
+	if err != nil {
+		return nil, false, err
+	}
+	t.notifyObserver(r.endpoint(), meta, sentAt)
+	complete, err := readBody(response, meta, r.Reserve)
+	if err != nil {
 		return nil, false, err
 	}
+	return complete, c.isReusableAfter(response, meta.ID), nil
+}
+
+// readAnswerHead reads the head of the response that belongs to the request with an ID. It skips responses to
+// earlier requests; one that may belong to any of them is an error.
+func (t *Transport) readAnswerHead(c *conn, request *http.Request, id string) (*http.Response, lovageyard.ResponseMeta, error) {
+	var none lovageyard.ResponseMeta
+	if err := c.awaitResponse(); err != nil {
+		return nil, none, err
+	}
 	for range maxStrayResponses {
 		response, err := c.readHead(request)
 		if err != nil {
-			return nil, false, err
+			return nil, none, err
 		}
 		meta := t.codec.Answer(response)
-		isOther := meta.ID != "" && meta.ID != r.ID
-		if !isOther {
-			t.notifyObserver(r.endpoint(), meta, sentAt)
+		if c.identifies(meta.ID, id) {
+			return response, meta, nil
 		}
-		complete, err := readBody(response, meta, r.Reserve)
-		if err != nil {
-			return nil, false, err
+		if meta.ID == "" {
+			return nil, none, errUnidentified
 		}
-		if isOther {
-			continue
-		}
-		framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-		reusable := framed && !response.Close && c.reader.Buffered() == 0
-		if meta.NotRun || response.StatusCode >= http.StatusInternalServerError {
-			reusable = c.recordFailure(r.ID) && reusable
+		if err := skipBody(response); err != nil {
+			return nil, none, err
 		}
-		return complete, reusable, nil
 	}
-	return nil, false, errors.New("answer: only answers to other requests came")
+	return nil, none, errors.New("answer: only answers to other requests came")
+}
+
+// skipBody reads the body of a response to another request.
+func skipBody(response *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBodyBytes))
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "the answer to another request broke off")
+	case n == maxBodyBytes:
+		return errTooLong
+	}
+	return nil
+}
+
+// isReusableAfter reports whether the connection may carry another request after a response that was read to its
+// end and has an ID.
+func (c *conn) isReusableAfter(response *http.Response, id string) bool {
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return framed && !response.Close && c.reader.Buffered() == 0 && c.mayCarryMore(id)
 }
 
 // readHead reads the head of the next final response, and passes interim responses to the client trace
--- a/link/idle.go
+++ b/link/idle.go
@@ -28,13 +28,13 @@
 }
 
 // popIdle removes the connection that was used last, as it has been idle for the shortest time, among those
-// on which no request with the ID has failed.
+// that may carry a request with the ID.
 func (t *Transport) popIdle(p endpoint, id string) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := t.idle[p]
 	for n := len(list) - 1; n >= 0; n-- {
-		if c := list[n]; !slices.Contains(c.failedIDs, id) {
+		if c := list[n]; c.mayCarry(id) {
 			t.idle[p] = slices.Delete(list, n, n+1)
 			return c
 		}
--- a/link/report.go
+++ b/link/report.go
@@ -21,12 +21,13 @@
 	maxReportBytes = 64 << 10
 )
 
-// LoadHeaderCodec is a Codec that reads only load reports, from the header lovageyard.LoadHeader.
+// LoadHeaderCodec is a Codec that reads load reports from the header lovageyard.LoadHeader, and the ID of the attempt
+// from lovageyard.AttemptHeader.
 type LoadHeaderCodec struct{}
 
-// Answer returns the load report of a response; it implements Codec.
+// Answer returns the load report and the ID of a response; it implements Codec.
 func (LoadHeaderCodec) Answer(r *http.Response) lovageyard.ResponseMeta {
-	var meta lovageyard.ResponseMeta
+	meta := lovageyard.ResponseMeta{ID: r.Header.Get(lovageyard.AttemptHeader)}
 	meta.Load, meta.Reported = ReportOf(r.Header)
 	return meta
 }
--- a/link/resend_test.go
+++ b/link/resend_test.go
@@ -40,8 +40,9 @@
 	first := func(conn net.Conn) {
 		reader := bufio.NewReader(conn)
 		if reused {
-			readWhole(reader)
-			write(conn, okResponse)
+			if first := readWhole(reader); first != nil {
+				write(conn, identify(first, okResponse))
+			}
 		}
 		fail(reader, conn)
 	}
@@ -53,11 +54,14 @@
 	return server, runs
 }
 
-func readWhole(reader *bufio.Reader) {
+// readWhole reads a request and its body; it returns nil if there is none.
+func readWhole(reader *bufio.Reader) *http.Request {
 	request, err := http.ReadRequest(reader)
-	if err == nil {
-		_, _ = io.Copy(io.Discard, request.Body)
+	if err != nil {
+		return nil
 	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	return request
 }
 
 // streamOnce streams a request and reads the whole response.
--- a/link/stream.go
+++ b/link/stream.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -19,8 +21,11 @@
 	r = r.Clone(r.Context())
 	r.URL.Scheme = "http"
 	r.URL.Host = s.Address
+	if r.Header == nil {
+		r.Header = make(http.Header)
+	}
 	replayable := mayResend != nil && hasNoBody(r)
-	idle := t.takeIdle(endpointOf(s), replayable, "")
+	idle := t.takeIdle(endpointOf(s), replayable, setAttemptID(r))
 	if idle == nil {
 		return t.streamOnNewConn(r, s)
 	}
@@ -39,6 +44,13 @@
 	return response, nil
 }
 
+// setAttemptID gives a request a new ID, which a resend must not share with the first send.
+func setAttemptID(r *http.Request) string {
+	id := strconv.FormatUint(rand.Uint64(), 16)
+	r.Header.Set(lovageyard.AttemptHeader, id)
+	return id
+}
+
 func hasNoBody(r *http.Request) bool {
 	return r.Body == nil || r.Body == http.NoBody
 }
@@ -48,6 +60,7 @@
 	if err != nil {
 		return nil, unreachableError(err)
 	}
+	setAttemptID(r)
 	response, failure := t.streamOnConn(c, r, s)
 	if failure != nil {
 		return nil, failure
@@ -58,20 +71,23 @@
 // streamOnConn sends a request on a connection and reads the header of the response.
 func (t *Transport) streamOnConn(c *conn, r *http.Request, s lovageyard.BackendServer) (*http.Response, *lovageyard.RequestError) {
 	ctx := r.Context()
+	id := r.Header.Get(lovageyard.AttemptHeader)
+	c.recordRequest(id)
 	before := c.writes.Load()
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastTime) })
 	sentAt := t.timer.Now()
 	writeResult := startStreamWrite(c, r)
-	response, err := c.readFirstHead(r)
+	response, meta, err := t.readAnswerHead(c, r, id)
 	if err != nil {
 		stop()
 		return nil, c.abort(ctx, before, err)
 	}
-	t.notifyObserver(endpointOf(s), t.codec.Answer(response), sentAt)
+	t.notifyObserver(endpointOf(s), meta, sentAt)
 	body := &streamBody{
-		transport: t, conn: c, endpoint: endpointOf(s), response: response, body: response.Body,
+		transport: t, conn: c, endpoint: endpointOf(s), response: response, id: meta.ID, body: response.Body,
 		context: ctx, stop: stop, writeResult: writeResult,
 	}
+	response.Header.Del(lovageyard.AttemptHeader)
 	response.Body = body
 	if body.body == http.NoBody {
 		body.finish(true)
@@ -79,14 +95,6 @@
 	return response, nil
 }
 
-// readFirstHead waits for the response to a request and reads its head.
-func (c *conn) readFirstHead(r *http.Request) (*http.Response, error) {
-	if err := c.awaitResponse(); err != nil {
-		return nil, err
-	}
-	return c.readHead(r)
-}
-
 // startStreamWrite writes a request and sends the result on the returned channel. A request with a
 // body is written while the response is read.
 func startStreamWrite(c *conn, r *http.Request) <-chan error {
@@ -122,8 +130,10 @@
 	conn      *conn
 	endpoint  endpoint
 	response  *http.Response
-	body      io.ReadCloser
-	context   context.Context
+	// id is the ID in the response, or "".
+	id      string
+	body    io.ReadCloser
+	context context.Context
 	// stop prevents the end of the context from affecting the connection.
 	stop        func() bool
 	writeResult <-chan error
@@ -184,6 +194,5 @@
 	default:
 		return false
 	}
-	framed := b.response.ContentLength >= 0 || len(b.response.TransferEncoding) > 0
-	return framed && !b.response.Close && b.conn.reader.Buffered() == 0
+	return b.conn.isReusableAfter(b.response, b.id)
 }
--- a/link/stream_test.go
+++ b/link/stream_test.go
@@ -74,6 +74,12 @@
 
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
+// identify adds the ID of the attempt to a response, as servers do.
+func identify(r *http.Request, response string) string {
+	status, rest, _ := strings.Cut(response, "\r\n")
+	return status + "\r\n" + lovageyard.AttemptHeader + ": " + r.Header.Get(lovageyard.AttemptHeader) + "\r\n" + rest
+}
+
 func closeAfterRequest(conn net.Conn) { readRequest(conn) }
 
 func closeInHeader(conn net.Conn) {
@@ -163,10 +169,11 @@
 	c := qt.New(t)
 	server, connections := rawServer(t, func(conn net.Conn) {
 		reader := bufio.NewReader(conn)
-		if _, err := http.ReadRequest(reader); err != nil {
+		first, err := http.ReadRequest(reader)
+		if err != nil {
 			return
 		}
-		write(conn, okResponse)
+		write(conn, identify(first, okResponse))
 		// The second request is read, and then the connection is closed without a response.
 		_, _ = http.ReadRequest(reader)
 	})
@@ -235,10 +242,11 @@
 	server, connections := rawServer(t, func(conn net.Conn) {
 		reader := bufio.NewReader(conn)
 		for {
-			if _, err := http.ReadRequest(reader); err != nil {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
 				return
 			}
-			write(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size))
+			write(conn, identify(request, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)))
 			piece := make([]byte, 1<<20)
 			for range size / len(piece) {
 				_, _ = conn.Write(piece)
@@ -286,8 +294,11 @@
 	c := qt.New(t)
 	server, connections := rawServer(t, func(conn net.Conn) {
 		reader := bufio.NewReader(conn)
-		_, _ = http.ReadRequest(reader)
-		write(conn, okResponse)
+		first, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		write(conn, identify(first, okResponse))
 		_, _ = http.ReadRequest(reader)
 	})
 	client := newStreamTransport()
@@ -335,7 +346,7 @@
 				return
 			}
 			c.Check(request.URL.Path, qt.Equals, link.HealthPath)
-			write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"slots\":8}")
+			write(conn, identify(request, "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"slots\":8}"))
 		}
 	})
 	client := newStreamTransport()
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -86,8 +86,12 @@
 	return s
 }
 
-// ServeHTTP dispatches requests for load reports, faults and counters, and runs all others as work.
+// ServeHTTP dispatches requests for load reports, faults and counters, and runs all others as work. Answers repeat the
+// ID of the attempt.
 func (s *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(lovageyard.AttemptHeader); id != "" {
+		w.Header().Set(lovageyard.AttemptHeader, id)
+	}
 	s.mux.ServeHTTP(w, r)
 }
 
--- a/verdict.go
+++ b/verdict.go
@@ -24,6 +24,8 @@
 	LoadHeader          = "Lovageyard-Load"
 	FailureDomainHeader = "Lovageyard-Failure-Domain"
 	SiteHeader          = "Lovageyard-Site"
+	// AttemptHeader identifies one attempt at a backend server, which repeats it in its answer.
+	AttemptHeader = "Lovageyard-Attempt"
 )
 
 // RequestError is the failure of a request, with its verdict.
