caller, link: a refused retry does not make a request not run

Callers of serve were answered 503 "not-run" for look-ups of which a server may have run an earlier attempt: the first attempt was lost at a server, and the last one, or a resend on a new connection, was refused. Found by reading.

Cause: the verdict of the last send was taken for that of the request, in caller's loop over attempts and in Stream. The way of edge keeps all verdicts (exchange.ran, Send's resend).

caller now remembers whether any attempt may have run and answers 502 "may-have-run"; Stream fails with "may-have-run" if its resend is refused.

--- a/caller/forward.go
+++ b/caller/forward.go
@@ -48,6 +48,8 @@
 	choice     route.Choice
 	slot       server.Result
 	heldClaim  *charge.HeldClaim
+	// mayHaveRun reports whether an attempt may have run the request.
+	mayHaveRun bool
 }
 
 func (h *Handler) forward(w http.ResponseWriter, r *http.Request, s *route.Snapshot) {
@@ -117,7 +119,11 @@
 			return
 		}
 		x.record(failure, 0)
+		if failure.Verdict != lovageyard.VerdictNotRun {
+			x.mayHaveRun = true
+		}
 		if !x.mayRetry(failure) {
+			failure = x.overall(failure)
 			x.finishClaim(failure.Verdict)
 			x.finish(failure)
 			return
@@ -155,6 +161,16 @@
 	return x.classRoute.RetryBudget.Withdraw()
 }
 
+// overall returns the failure of the request, given that of its last attempt: a refusal of the last attempt does not
+// mean that no earlier one has run.
+func (x *exchange) overall(last *attemptError) *attemptError {
+	if !x.mayHaveRun || last.Verdict != lovageyard.VerdictNotRun {
+		return last
+	}
+	failure := lovageyard.MayHaveRun("an earlier attempt may have run", last.RequestError)
+	return &attemptError{RequestError: failure, status: http.StatusBadGateway, retryAfter: last.retryAfter}
+}
+
 // resendPermission returns the function that decides whether an attempt is sent again after the server has closed
 // a reused connection, or nil if the request must not run twice.
 func (x *exchange) resendPermission() func() bool {
@@ -234,7 +250,7 @@
 	if outcome.Report.Leaving {
 		x.handler.observer.ServerLeaving(x.classRoute.Class.Service, x.choice.Site, x.slot.Server.Name)
 	}
-	if notRun(response) {
+	if link.IsRefusal(response) {
 		outcome.Failed = true
 		x.release(started, outcome)
 		failure := lovageyard.NotRun("the backend server refused the request", nil)
@@ -263,11 +279,6 @@
 	return now.Sub(started) >= threshold
 }
 
-// notRun reports whether the backend server's answer says that it did not run the request.
-func notRun(r *http.Response) bool {
-	return r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(lovageyard.VerdictHeader) == string(lovageyard.VerdictNotRun)
-}
-
 func (x *exchange) newAttemptError(err error) *attemptError {
 	var failure *lovageyard.RequestError
 	if !errors.As(err, &failure) {
--- a/link/report.go
+++ b/link/report.go
@@ -21,17 +21,22 @@
 	maxReportBytes = 64 << 10
 )
 
-// LoadHeaderCodec is a Codec that reads load reports from the header lovageyard.LoadHeader, and the ID of the attempt
-// from lovageyard.AttemptHeader.
+// LoadHeaderCodec is a Codec that reads load reports from the header lovageyard.LoadHeader, the ID of the attempt
+// from lovageyard.AttemptHeader, and refusals from lovageyard.VerdictHeader.
 type LoadHeaderCodec struct{}
 
-// Answer returns the load report and the ID of a response; it implements Codec.
+// Answer returns the metadata of a response; it implements Codec.
 func (LoadHeaderCodec) Answer(r *http.Response) lovageyard.ResponseMeta {
-	meta := lovageyard.ResponseMeta{ID: r.Header.Get(lovageyard.AttemptHeader)}
+	meta := lovageyard.ResponseMeta{ID: r.Header.Get(lovageyard.AttemptHeader), NotRun: IsRefusal(r)}
 	meta.Load, meta.Reported = ReportOf(r.Header)
 	return meta
 }
 
+// IsRefusal reports whether a response says that the server did not run the request.
+func IsRefusal(r *http.Response) bool {
+	return r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(lovageyard.VerdictHeader) == string(lovageyard.VerdictNotRun)
+}
+
 // ReportOf returns the load report in the headers of a response, and whether there is a valid one.
 func ReportOf(h http.Header) (lovageyard.LoadReport, bool) {
 	var report lovageyard.LoadReport
--- a/link/resend_test.go
+++ b/link/resend_test.go
@@ -131,3 +131,26 @@
 	err := streamOnce(client, server, method, body, mayResend)
 	return runs.Load(), err
 }
+
+// A server closes a reused connection after it has read a request, and refuses the resend. The first send may have run,
+// so that the request must not appear as refused.
+func TestRefusedResendOfStreamMayHaveRun(t *testing.T) {
+	c := qt.New(t)
+	server, _ := rawServer(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		if first := readWhole(reader); first != nil {
+			write(conn, identify(first, okResponse))
+		}
+		readWhole(reader)
+	}, func(conn net.Conn) {
+		if second := readWhole(bufio.NewReader(conn)); second != nil {
+			write(conn, identify(second, "HTTP/1.1 503 Full\r\nLovageyard-Verdict: not-run\r\nContent-Length: 0\r\n\r\n"))
+		}
+	})
+	client := newStreamTransport()
+	defer client.Close()
+	c.Assert(streamOnce(client, server, http.MethodGet, "", allow), qt.IsNil)
+	err := streamOnce(client, server, http.MethodGet, "", allow)
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(lovageyard.VerdictOf(err), qt.Equals, lovageyard.VerdictMayHaveRun)
+}
--- a/link/stream.go
+++ b/link/stream.go
@@ -37,9 +37,13 @@
 		return nil, failure
 	}
 	response, err := t.streamOnNewConn(r, s)
-	if err != nil {
-		// Whatever the result of the second send, the first may have run.
+	// Whatever the result of the second send, the first may have run: a refusal applies to the second only.
+	switch {
+	case err != nil:
 		return nil, lovageyard.MayHaveRun("the backend server closed the connection and did not answer again", err)
+	case t.codec.Answer(response).NotRun:
+		response.Body.Close()
+		return nil, lovageyard.MayHaveRun("the backend server closed the connection and refused the request sent again", nil)
 	}
 	return response, nil
 }
