caller: an answer that begins before the body's end closes its connection

Cause: in full duplex the handler may end with a rest of the body unread. net/http then reads it while it ends the request, which starts its background read, and reads the next request at the same time.

Such an answer now closes its connection, so that no next request is read there; full duplex begins only with such an answer. TestAnswerBeforeEndOfBodyDoesNotBreakConnection fails before in its case of a charge.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -120,6 +120,7 @@
 }
 
 func (x *exchange) writeHead(response *http.Response) {
+	x.beginAnswer()
 	header := x.writer.Header()
 	closing := header.Get("Connection")
 	copyHeader(header, link.EndToEndHeaders(response.Header))
--- a/caller/body.go
+++ b/caller/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync/atomic"
 )
 
 // maxBuffered is the size in bytes up to which a body is buffered, so that a request can be sent again or an
@@ -14,10 +15,25 @@
 // one.
 type requestBody struct {
 	buffered []byte
-	rest     io.Reader
+	rest     *trackedReader
 	empty    bool
 }
 
+// trackedReader records whether its reader has ended.
+type trackedReader struct {
+	reader io.Reader
+	ended  atomic.Bool
+}
+
+// Read implements io.Reader.
+func (r *trackedReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if err == io.EOF {
+		r.ended.Store(true)
+	}
+	return n, err
+}
+
 // readAhead reads a body up to a limit; the remainder is read while the request is sent.
 func readAhead(r *http.Request, limit int64) (*requestBody, error) {
 	if r.Body == nil || r.Body == http.NoBody {
@@ -29,7 +45,7 @@
 	}
 	b := &requestBody{buffered: buffered}
 	if int64(len(buffered)) == limit {
-		b.rest = r.Body
+		b.rest = &trackedReader{reader: r.Body}
 	}
 	return b, nil
 }
@@ -39,6 +55,11 @@
 	return b.rest == nil
 }
 
+// hasEnded reports whether the whole body has arrived.
+func (b *requestBody) hasEnded() bool {
+	return b.rest == nil || b.rest.ended.Load()
+}
+
 // attach sets the body of one attempt.
 func (b *requestBody) attach(out *http.Request, length int64) {
 	out.GetBody = nil
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -105,10 +105,6 @@
 		return
 	}
 	x.body = body
-	if !body.isComplete() {
-		// A long body may still be arriving when the answer starts.
-		_ = http.NewResponseController(x.writer).EnableFullDuplex()
-	}
 	if !x.claim() {
 		return
 	}
@@ -337,9 +333,20 @@
 		failure.status = http.StatusGatewayTimeout
 	}
 	x.count("failed." + string(failure.Verdict))
+	x.beginAnswer()
 	fail(x.writer, failure.status, failure.RequestError, failure.retryAfter)
 }
 
+// beginAnswer prepares for an answer that begins while the request's body is still arriving. net/http must not read the
+// rest of the body then, as an attempt may be reading it, and can't find the next request behind it.
+func (x *exchange) beginAnswer() {
+	if x.body == nil || x.body.hasEnded() {
+		return
+	}
+	_ = http.NewResponseController(x.writer).EnableFullDuplex()
+	x.writer.Header().Set("Connection", "close")
+}
+
 // refuse ends a request before its first attempt.
 func (x *exchange) refuse(status int, err *lovageyard.RequestError, retryAfter time.Duration) {
 	failure := &attemptError{RequestError: err, status: status, retryAfter: retryAfter}
