entry: an instance that leaves checks again before it passes a request on

Callers whose upload was under way at SIGTERM, or whose first attempt was refused after it, were passed on to a server even if the process was to exit before their answer, and were cut then. Found by reading.

Cause: the check read the view of the request's arrival. It reads the current one now, after the body and before each further attempt; the caller is answered 503 with the time to come back.

--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -477,6 +477,19 @@
 	f.c.Assert(f.backends.count("1"), qt.Equals, 0)
 }
 
+// An instance that leaves makes no attempts for others, which would be cut when it exits.
+func TestLeavingPeerMakesNoAttempts(t *testing.T) {
+	f := newFleet(t, "x", "y")
+	f.networks["x"].cut(&hanging)
+	f.lose("x")
+	view := *f.views["y"].Load()
+	view.Leaving = true
+	f.views["y"].Store(&view)
+	_, err := f.send("x", request("1", "c"))
+	f.c.Assert(failureOf(f.c, err).Verdict, qt.Equals, lovageyard.VerdictNotRun)
+	f.c.Assert(f.backends.count("1"), qt.Equals, 0)
+}
+
 // What a server asks in an answer that a peer passes on applies to the instance that selects servers.
 func TestBackpressureThroughPeerIsObserved(t *testing.T) {
 	f := newFleet(t, "x", "y")
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -64,7 +64,7 @@
 			x.finish(ctx, a)
 			return
 		}
-		if !x.keyIsValid() {
+		if !x.keyIsValid() || x.outlivesInstance() {
 			x.finish(ctx, a)
 			return
 		}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -207,9 +207,11 @@
 }
 
 // outlivesInstance reports whether this instance is shutting down and may exit before the request has its
-// answer. The request would be cut off while the server runs it; another instance accepts it immediately.
+// answer. The request would be cut off while the server runs it; another instance accepts it immediately. The shutdown
+// may have begun since the request arrived, for example while its body was read.
 func (x *exchange) outlivesInstance() bool {
-	return x.view.Leaving && x.answerDeadline.After(x.view.ShutdownAt)
+	view := x.handler.Source.View()
+	return view.Leaving && x.answerDeadline.After(view.ShutdownAt)
 }
 
 // setDeadlines sets the deadline for the servers, which is the shorter of the client's deadline and the
