link, detour: a request that was given up is discarded

Cause: the connection of an attempt that was given up was closed in the normal way, after which the kernel goes on delivering what a partition held up. Such connections are reset now, also those that carry attempts to peers.

--- a/detour/attempt_test.go
+++ b/detour/attempt_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -89,3 +91,49 @@
 		f.c.Check(response.Header.Get("Received"), qt.Equals, strconv.FormatInt(before+int64(n)+1, 10))
 	}
 }
+
+// Sizes with which a message fits into the sender's buffer, but not into the receiver's.
+const (
+	smallReceiveBuffer = 2 << 10
+	heldBodyBytes      = 24 << 10
+)
+
+// An attempt that was given up must not reach the peer later, when a partition no longer holds it: the peer would send
+// it to the server after its deadline.
+func TestGivenUpAttemptDoesNotReachPeer(t *testing.T) {
+	f := newFleet(t, "x", "y")
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			f.c.Check(syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer), qt.IsNil)
+		})
+	}}
+	stalled, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	f.c.Assert(err, qt.IsNil)
+	defer stalled.Close()
+	read := make(chan struct{})
+	whole := make(chan bool, 1)
+	go func() {
+		conn, err := stalled.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		<-read
+		message, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil {
+			_, err = io.Copy(io.Discard, message.Body)
+		}
+		whole <- err == nil
+	}()
+	f.networks["x"].cut(&hanging)
+	f.lose("x")
+	f.movePeer("x", stalled.Addr().String())
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	r := request("1", "c")
+	r.Body = make([]byte, heldBodyBytes)
+	_, err = f.senders["x"].Send(ctx, r)
+	f.c.Assert(err, qt.IsNotNil)
+	close(read)
+	f.c.Assert(<-whole, qt.IsFalse)
+}
--- a/detour/client.go
+++ b/detour/client.go
@@ -37,7 +37,7 @@
 // newClient returns an HTTP client that detects peers that have stopped answering.
 func newClient() *http.Client {
 	return &http.Client{Transport: reservingTransport{&http.Transport{
-		DialContext:         link.NewDialer(peerDialTimeout).DialContext,
+		DialContext:         link.DialDiscarding(peerDialTimeout),
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		IdleConnTimeout:     peerIdleTimeout,
 		DisableCompression:  true,
--- a/link/conn.go
+++ b/link/conn.go
@@ -95,6 +95,35 @@
 	return failure
 }
 
+// reset closes the connection and discards what was written and not yet delivered. After a normal close, a partition
+// would hold a request that was given up, and the server would get it when the partition ends.
+func (c *conn) reset() {
+	discardOnClose(c.Conn)
+	c.Close()
+}
+
+// discardOnClose makes Close reset a TCP connection.
+func discardOnClose(c net.Conn) {
+	if socket, ok := c.(*net.TCPConn); ok {
+		// It fails only if the connection is closed already.
+		_ = socket.SetLinger(0)
+	}
+}
+
+// DialDiscarding is DialContext of NewDialer. Closing the connection discards what was not yet delivered, so that the
+// other end does not get a request that was given up.
+func DialDiscarding(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := NewDialer(timeout)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		discardOnClose(c)
+		return c, nil
+	}
+}
+
 // recordRequest records a request that the connection is about to carry.
 func (c *conn) recordRequest(id string) {
 	c.requests = append(c.requests, maphash.String(idSeed, id))
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -33,22 +33,22 @@
 	response, reusable, err := t.writeAndRead(c, r)
 	// Once the function has started, the deadline may be set at any time from now on.
 	stopped := stop()
-	if err == nil {
-		if reusable && stopped {
-			t.putIdle(c, r.endpoint(), response.Header)
-		} else {
-			c.Close()
-		}
-		return response, nil
+	switch {
+	case err != nil:
+		return nil, c.abort(ctx, before, err)
+	case reusable && stopped:
+		t.putIdle(c, r.endpoint(), response.Header)
+	default:
+		c.reset()
 	}
-	return nil, c.abort(ctx, before, err)
+	return response, nil
 }
 
 // abort closes a connection on which a request failed, and returns the failure; before is the
 // number of writes before the request.
 func (c *conn) abort(ctx context.Context, before int64, err error) *lovageyard.RequestError {
 	// Once the connection is closed, a write that has not started sends nothing.
-	c.Close()
+	c.reset()
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
--- a/link/stream.go
+++ b/link/stream.go
@@ -167,7 +167,7 @@
 	return n, err
 }
 
-// Close closes the connection unless the body was read to its end.
+// Close resets the connection unless the body was read to its end.
 func (b *streamBody) Close() error {
 	b.finish(false)
 	return nil
@@ -184,7 +184,7 @@
 		b.transport.putIdle(b.conn, b.endpoint, b.response.Header)
 		return
 	}
-	b.conn.Close()
+	b.conn.reset()
 }
 
 // isReusable reports whether the connection may carry another request: the whole request was sent,
