caller: a body that does not arrive holds no request beyond its deadline

A caller of serve that declared a body and did not send it held a request for good: the part that is read ahead of the first attempt had no limit in time. Found by reading, in the search for readers without a limit.

The body is read up to the deadline now, and the request is answered 408 "not-run" then, or 504 if it was being sent on. TestBodyThatDoesNotArriveIsRefusedAtTheDeadline waited 20 s before without an answer.

--- a/caller/body_test.go
+++ b/caller/body_test.go
@@ -1,14 +1,18 @@
 package caller
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"log"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -76,3 +80,35 @@
 		})
 	}
 }
+
+// A caller whose body does not end must not hold a request beyond its deadline.
+func TestBodyThatDoesNotArriveIsRefusedAtTheDeadline(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		length  int
+		written int
+		status  int
+	}{
+		{"before the first attempt", 100, 1, http.StatusRequestTimeout},
+		{"while it is streamed", 2 * maxBuffered, maxBuffered + 1, http.StatusGatewayTimeout},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(t, newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				answerOK(w, r)
+			}))
+			conn, err := net.Dial("tcp", h.front.Listener.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST /lookups/1 HTTP/1.1\r\nHost: a\r\nLovageyard-Deadline-Ms: 300\r\nContent-Length: %d\r\n\r\n%s", test.length, strings.Repeat("x", test.written))
+			c.Assert(err, qt.IsNil)
+			c.Assert(conn.SetReadDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			c.Check(response.StatusCode, qt.Equals, test.status)
+			c.Check(response.Close, qt.IsTrue)
+			response.Body.Close()
+		})
+	}
+}
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"os"
 	"strconv"
 	"time"
 
@@ -99,12 +100,9 @@
 
 // run makes attempts until one is answered or no retry is allowed.
 func (x *exchange) run() {
-	body, err := readAhead(x.request, x.bodyLimit())
-	if err != nil {
-		x.refuse(http.StatusBadRequest, lovageyard.NotRun("the request's body could not be read", err), 0)
+	if !x.readBody() {
 		return
 	}
-	x.body = body
 	if !x.claim() {
 		return
 	}
@@ -127,6 +125,28 @@
 	}
 }
 
+// readBody reads the request's body ahead, or refuses the request and returns false. No part of the body is awaited
+// longer than to the deadline.
+func (x *exchange) readBody() bool {
+	controller := http.NewResponseController(x.writer)
+	_ = controller.SetReadDeadline(x.deadline)
+	body, err := readAhead(x.request, x.bodyLimit())
+	if err != nil {
+		status := http.StatusBadRequest
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			status = http.StatusRequestTimeout
+		}
+		x.writer.Header().Set("Connection", "close")
+		x.refuse(status, lovageyard.NotRun("the request's body could not be read", err), 0)
+		return false
+	}
+	if body.isComplete() {
+		_ = controller.SetReadDeadline(time.Time{})
+	}
+	x.body = body
+	return true
+}
+
 // bodyLimit returns the size up to which the request's body is buffered.
 func (x *exchange) bodyLimit() int64 {
 	if x.classRoute.Class.Idempotent {
