transfer, detour: requests and replies between instances are limited in length and time

An instance that called a peer read its reply without a limit (headers of up to 10 MB, any body), and one that was called waited for a body for good; a call without a length counted nothing toward the memory budget.

transfer.LimitRequests reads the bodies of peers' requests within a length and a time, on both ways through an instance. Attempts through peers declare their length, replies as well, up to 33 MB.

--- a/detour/client.go
+++ b/detour/client.go
@@ -25,6 +25,10 @@
 	peerIdleTimeout = 10 * time.Second
 	// maxIdlePerPeer is the number of idle connections that are kept to each peer.
 	maxIdlePerPeer = 32
+	// maxReplyBytes limits a reply: the longest body of a response, and its headers. maxReplyHeadBytes limits the
+	// headers of the reply itself.
+	maxReplyBytes     = 33 << 20
+	maxReplyHeadBytes = 16 << 10
 )
 
 // Outcomes of calls to peers, as used in metrics.
@@ -41,6 +45,8 @@
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		IdleConnTimeout:     peerIdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxReplyHeadBytes,
 	}}}
 }
 
--- a/detour/memory.go
+++ b/detour/memory.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
 	"lovageyard.example/lovageyard/footprint"
@@ -20,14 +21,23 @@
 // reservingTransport reserves memory for the replies of peers before they are read.
 type reservingTransport struct{ http.RoundTripper }
 
+// errReplyLength reports a reply that does not say how long it is, or is too long.
+var errReplyLength = errors.Errorf("Content-Length of the reply: a number up to %d is expected", maxReplyBytes)
+
 // RoundTrip implements http.RoundTripper.
 func (t reservingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	response, err := t.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
 	reserve, _ := r.Context().Value(reserveKey{}).(link.Reserve)
-	if err != nil || reserve == nil || response.ContentLength <= 0 {
-		return response, err
+	switch {
+	case response.ContentLength < 0, response.ContentLength > maxReplyBytes:
+		err = errReplyLength
+	case reserve != nil && response.ContentLength > 0:
+		err = reserve(response.ContentLength)
 	}
-	if err := reserve(response.ContentLength); err != nil {
+	if err != nil {
 		response.Body.Close()
 		return nil, err
 	}
--- a/detour/server.go
+++ b/detour/server.go
@@ -13,13 +13,16 @@
 	"lovageyard.example/lovageyard"
 	"lovageyard.example/lovageyard/link"
 	"lovageyard.example/lovageyard/peer/wire"
+	"lovageyard.example/lovageyard/transfer"
 )
 
 const (
 	// maxAttempts limits the attempts that are made for peers at a time, as each holds its body in memory.
 	maxAttempts = 256
-	// maxMessageBytes limits a message: the longest body of a request, and its headers.
+	// maxMessageBytes limits a message: the longest body of a request, and its headers. messageTimeout limits the
+	// time to read it; it takes 7 s on a link of 10 Mbit/s.
 	maxMessageBytes = 9 << 20
+	messageTimeout  = 15 * time.Second
 )
 
 // Table tells which servers may get requests; see dispatch.Table.
@@ -155,7 +158,7 @@
 
 // Handler returns the HTTP handler of the service, which only other instances may call.
 func (s *Server) Handler() http.Handler {
-	service := s.withMemory(wire.NewDetourServer(s))
+	service := s.withMemory(transfer.LimitRequests(wire.NewDetourServer(s), maxMessageBytes, messageTimeout))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !s.isInstance(r.RemoteAddr) {
 			s.sender.settings.Logger.WithField("address", r.RemoteAddr).Warn("an attempt for an unknown caller was rejected")
@@ -163,7 +166,11 @@
 			_ = twirp.WriteError(w, twirp.NewError(twirp.PermissionDenied, "the caller is not a known instance"))
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxMessageBytes)
+		if r.ContentLength < 0 {
+			// Memory is reserved by the length. A failure to write the rejection is the caller's.
+			_ = twirp.WriteError(w, twirp.NewError(twirp.InvalidArgument, "Content-Length: missing"))
+			return
+		}
 		service.ServeHTTP(w, r)
 	})
 }
--- a/lovageyardd/daemon.go
+++ b/lovageyardd/daemon.go
@@ -30,6 +30,7 @@
 	"lovageyard.example/lovageyard/server"
 	"lovageyard.example/lovageyard/settings"
 	"lovageyard.example/lovageyard/timer"
+	"lovageyard.example/lovageyard/transfer"
 )
 
 // Limits and timeouts of the HTTP servers and of shutdown.
@@ -173,7 +174,7 @@
 		Self:     self,
 	})
 	d.callerServer = newServer(handler)
-	d.peerServer = newServer(wire.NewPeersServer(d.control))
+	d.peerServer = newServer(transfer.LimitRequests(wire.NewPeersServer(d.control), maxPeerRequestBytes, peerRequestTimeout))
 	d.operatorServer = newServer(operator.NewHandler(d.control, d.platform, clock, registry))
 	return d
 }
--- a/lovageyardd/edge_serve.go
+++ b/lovageyardd/edge_serve.go
@@ -14,6 +14,7 @@
 	"lovageyard.example/lovageyard/peer/wire"
 	"lovageyard.example/lovageyard/pipeline"
 	"lovageyard.example/lovageyard/platform"
+	"lovageyard.example/lovageyard/transfer"
 )
 
 // Limits of the edge servers.
@@ -26,6 +27,8 @@
 	edgeMaxHeaderBytes = 16 << 10
 	// maxPeerRequestBytes limits the requests of peers, which carry heartbeats, cursors and reports but no rows.
 	maxPeerRequestBytes = 1 << 20
+	// peerRequestTimeout limits the time to read them.
+	peerRequestTimeout = 10 * time.Second
 )
 
 // serveAll starts to serve on all sockets.
@@ -75,7 +78,7 @@
 func (e *edge) peerServices() http.Handler {
 	services := http.NewServeMux()
 	for _, s := range []wire.TwirpServer{wire.NewFleetServer(e.control), wire.NewQuotaServer(e.limiter)} {
-		services.Handle(s.PathPrefix(), http.MaxBytesHandler(s, maxPeerRequestBytes))
+		services.Handle(s.PathPrefix(), transfer.LimitRequests(s, maxPeerRequestBytes, peerRequestTimeout))
 	}
 	services.Handle(wire.DetourPathPrefix, e.detours.Handler())
 	return services
