settings: a settings file is limited

A settings file without an end filled the memory of an instance. It is limited to 1 MB now, and the settings in force stay, as with any other error. TestEndlessFileIsRefused reads /dev/zero, which had no limit before (not tried there).

--- a/settings/file.go
+++ b/settings/file.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"os"
 
 	"github.com/alecthomas/kong"
@@ -12,7 +13,7 @@
 // names to strings, such as {"keep-for": "2s"}. Flags and environment variables take precedence.
 // An empty string counts as no value, and unknown names are ignored.
 func File(path string) (kong.Option, error) {
-	data, err := os.ReadFile(path)
+	data, err := readFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "settings file")
 	}
@@ -28,3 +29,23 @@
 	}
 	return kong.Resolvers(kong.ResolverFunc(resolver)), nil
 }
+
+// maxFileBytes limits a settings file.
+const maxFileBytes = 1 << 20
+
+// readFile reads a file of at most maxFileBytes.
+func readFile(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	data, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > maxFileBytes {
+		return nil, errors.Errorf("%s is longer than %d bytes", path, maxFileBytes)
+	}
+	return data, nil
+}
--- a/settings/file_test.go
+++ b/settings/file_test.go
@@ -56,3 +56,9 @@
 	_, err = settings.File(filepath.Join(c.TempDir(), "none"))
 	c.Assert(err, qt.ErrorMatches, "settings file: .*")
 }
+
+// A settings file that does not end must be refused without filling the memory.
+func TestEndlessFileIsRefused(t *testing.T) {
+	_, err := settings.File("/dev/zero")
+	qt.Assert(t, err, qt.ErrorMatches, "settings file: /dev/zero is longer than .*")
+}
