link, entry: tests of second answers that lack the ID

Callers would see: a charge that runs is answered as not run, or runs twice, if a server repeats an answer without its ID before the next one on the connection (a refusal in the published examples has none).

The drawn tests now draw second answers without an ID besides.

--- a/entry/attempts_test.go
+++ b/entry/attempts_test.go
@@ -29,6 +29,8 @@
 	// freeSlots means that a refusal shows free slots, so that the request may be sent to the server again.
 	freeSlots   bool
 	early, late bool
+	// secondUnidentified means that the second answer lacks the ID.
+	secondUnidentified bool
 }
 
 // answeringTwice is a backend server that follows plans and counts the runs of each request.
@@ -64,13 +66,17 @@
 			return
 		}
 		answer, p := s.answer(request)
+		second := answer
+		if p.secondUnidentified {
+			second = strings.Replace(answer, "X-Request-Id: "+request.Header.Get("X-Request-Id")+"\r\n", "", 1)
+		}
 		text := pending + answer
 		if p.early {
-			text += answer
+			text += second
 		}
 		pending = ""
 		if p.late {
-			pending = answer
+			pending = second
 		}
 		if _, err := io.WriteString(conn, text); err != nil {
 			return
@@ -144,6 +150,8 @@
 				freeSlots: rapid.Bool().Draw(rt, "free slots"),
 				early:     rapid.Bool().Draw(rt, "early"),
 				late:      rapid.Bool().Draw(rt, "late"),
+
+				secondUnidentified: rapid.Bool().Draw(rt, "second unidentified"),
 			}
 		}), 3, 3).Draw(rt, "plans")
 		go server.serve()
--- a/link/attempt_test.go
+++ b/link/attempt_test.go
@@ -34,11 +34,13 @@
 	attempts map[string]int
 }
 
-// attemptPlan says whether an attempt is refused, whether its answers lack the ID, and when its second answer comes.
+// attemptPlan says whether an attempt is refused, whether its answers or only the second one lack the ID, and when its
+// second answer comes.
 type attemptPlan struct {
-	refused      bool
-	unidentified bool
-	early, late  bool
+	refused            bool
+	unidentified       bool
+	secondUnidentified bool
+	early, late        bool
 }
 
 func newRepeatingServer(t *testing.T, idHeader string, plan func(attempt int) attemptPlan) *repeatingServer {
@@ -84,13 +86,17 @@
 			identity = ""
 		}
 		answer := fmt.Sprintf("HTTP/1.1 %d status\r\nContent-Length: 0\r\n%sAttempt: %d\r\n\r\n", status, identity, attempt)
+		second := answer
+		if p.secondUnidentified {
+			second = strings.Replace(answer, identity, "", 1)
+		}
 		text := pending + answer
 		if p.early {
-			text += answer
+			text += second
 		}
 		pending = ""
 		if p.late {
-			pending = answer
+			pending = second
 		}
 		if _, err := conn.Write([]byte(text)); err != nil {
 			return
@@ -137,16 +143,18 @@
 func drawPlans(rt *rapid.T, mayBeUnidentified bool) []attemptPlan {
 	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) attemptPlan {
 		return attemptPlan{
-			refused:      rapid.Bool().Draw(rt, "refused"),
-			unidentified: mayBeUnidentified && rapid.Bool().Draw(rt, "unidentified"),
-			early:        rapid.Bool().Draw(rt, "early"),
-			late:         rapid.Bool().Draw(rt, "late"),
+			refused:            rapid.Bool().Draw(rt, "refused"),
+			unidentified:       mayBeUnidentified && rapid.Bool().Draw(rt, "unidentified"),
+			secondUnidentified: mayBeUnidentified && rapid.Bool().Draw(rt, "second unidentified"),
+			early:              rapid.Bool().Draw(rt, "early"),
+			late:               rapid.Bool().Draw(rt, "late"),
 		}
 	}), 3, 3).Draw(rt, "plans")
 }
 
 // An answer must not be taken for that to another request if a caller uses an ID again or sends none, or if a server
-// leaves the ID out: a caller would get another caller's answer.
+// leaves the ID out, of all answers or of second ones: a caller would get another caller's answer, or a refusal of a
+// request that runs.
 func TestAnswerBelongsToItsRequest(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		plans := drawPlans(rt, true)
