platform: a sealed 421 is the answer of a server that ran the request

Cause: any 421 counted as another server's, which has not run the request, whatever else it said. Statuses 408, 429 and 503 count as not run only with the header that states it. Class: a promise is read from a status that may mean something else. Change: a sealed 421 has run, as servers seal only what they ran, and says nothing of another server at the address. It is answered 502, like the other three.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -338,6 +338,7 @@
 		{"failed at the first, lost at the second", true, []step{success(500), lostAnswer}, 500, 2, `"outcome":"answered"`},
 		{"a refusal that does not say that it did not run", false, []step{success(503)}, 502, 1, `"verdict":"ran"`},
 		{"too many requests, but it may have run", true, []step{success(429), success(429)}, 502, 2, `"outcome":"failed"`},
+		{"misdirected, but it has run", false, []step{success(421)}, 502, 1, `"verdict":"ran"`},
 		{"malformed for the server", true, []step{notRun(400)}, 400, 1, `"outcome":"rejected"`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
