entry, link: discarded answers of servers are logged and counted

On-call engineers could not tell two causes of refusals apart: servers that refuse requests, and servers that answer twice or fail with a status that promises that the request has not run.

A request's line has answers-skipped, how many answers to earlier requests came before its own; answers-skipped and promises-ignored count by service.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -126,6 +126,8 @@
 	// memory and minBodyRate are the settings of the same names.
 	memory      *footprint.Pool
 	minBodyRate int64
+	// metrics are the handler's.
+	metrics *meter.Set
 }
 
 // scriptedQuota is a Quota that refuses requests of accounts if refuses is set, and counts returned admissions.
@@ -239,13 +241,14 @@
 	if h.observes {
 		h.sender.observer = &entry.BackpressureObserver{Dispatch: table, Timer: timer.Clock{}, Logger: logger}
 	}
+	h.metrics = meter.NewSet()
 	var path entry.Sender = h.sender
 	if h.path != nil {
 		path = h.path
 	}
 	return entry.NewHandler(entry.Settings{
 		Source: h.source(), Limits: h.limits, Codec: platform.Headers{}, Sender: path, Dispatch: table, Quarantine: h.quarantine(logger), Quota: &h.quota,
-		Timer: timer.Clock{}, Logger: logger, Metrics: meter.NewSet(), Shares: &entry.Shares{},
+		Timer: timer.Clock{}, Logger: logger, Metrics: h.metrics, Shares: &entry.Shares{},
 		Memory: h.memory, MinBodyRate: h.minBodyRate,
 	})
 }
@@ -303,6 +306,12 @@
 	return s
 }
 
+// skipped marks the answer of a step as one that came after the answer to an earlier request.
+func skipped(s step) step {
+	s.answer.Skipped = 1
+	return s
+}
+
 var (
 	unsealed   = step{answer: &link.Response{Status: http.StatusOK, Header: http.Header{}, Body: []byte("spoiled")}}
 	lostAnswer = step{err: lovageyard.MayHaveRun("the connection ended", nil)}
@@ -338,6 +347,7 @@
 		{"failed at the first, lost at the second", true, []step{success(500), lostAnswer}, 500, 2, `"outcome":"answered"`},
 		{"a refusal that does not say that it did not run", false, []step{success(503)}, 502, 1, `"verdict":"ran"`},
 		{"too many requests, but it may have run", true, []step{success(429), success(429)}, 502, 2, `"outcome":"failed"`},
+		{"after a second answer to an earlier request", false, []step{skipped(success(200))}, 200, 1, `"answers-skipped":1`},
 		{"misdirected, but it has run", false, []step{success(421)}, 502, 1, `"verdict":"ran"`},
 		{"malformed for the server", true, []step{notRun(400)}, 400, 1, `"outcome":"rejected"`},
 	} {
@@ -375,6 +385,20 @@
 	}
 }
 
+// Operators must be able to tell servers that answer twice, or that fail with a status that promises otherwise, from
+// servers that refuse requests.
+func TestDiscardedAnswersAreCounted(t *testing.T) {
+	h := newHarness(t, skipped(success(200)), success(503))
+	h.serving = h.handler()
+	for range 2 {
+		h.send(http.MethodGet, "/x/", "")
+	}
+	var text strings.Builder
+	h.metrics.Write(&text)
+	h.c.Assert(text.String(), qt.Contains, meter.AnswersSkipped.Name)
+	h.c.Assert(text.String(), qt.Contains, meter.PromisesIgnored.Name)
+}
+
 func TestInvalidRequestsAreRejected(t *testing.T) {
 	h := newHarness(t)
 	h.c.Assert(h.send(http.MethodGet, "/other/", "").StatusCode, qt.Equals, http.StatusNotFound)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -198,9 +198,23 @@
 	}
 	x.reportToQuarantine(a)
 	x.recordLength(a)
+	x.countDiscarded(a)
 	return a
 }
 
+// countDiscarded updates the metrics for answers of servers that are not used as they are.
+func (x *exchange) countDiscarded(a *attempt) {
+	if a.answer == nil {
+		return
+	}
+	for range a.answer.Skipped {
+		x.handler.Metrics.Count(meter.AnswersSkipped, x.label())
+	}
+	if !a.answer.Meta.NotRun && promisesNotRun(a.answer.Status) {
+		x.handler.Metrics.Count(meter.PromisesIgnored, x.label())
+	}
+}
+
 func (x *exchange) reportToQuarantine(a *attempt) {
 	q := x.handler.Quarantine
 	if a.err != nil && a.err.ConnectionLost {
--- a/entry/log.go
+++ b/entry/log.go
@@ -108,6 +108,9 @@
 	if a.answer != nil && a.answer.DialTime > 0 {
 		fields["dial-ms"] = a.answer.DialTime.Milliseconds()
 	}
+	if a.answer != nil && a.answer.Skipped > 0 {
+		fields["answers-skipped"] = a.answer.Skipped
+	}
 	if a.answer != nil {
 		addBackpressure(fields, a.answer.Meta.Backpressure)
 	}
--- a/link/conn.go
+++ b/link/conn.go
@@ -49,6 +49,8 @@
 	// requests are the hashes of the IDs of all requests that the connection has carried. It carries no two with
 	// the same ID: a second, late answer to the one would be taken for the answer to the other.
 	requests []uint64
+	// skipped is the number of answers to other requests than the current one that have come.
+	skipped int
 }
 
 // Write counts the write before any byte can be sent.
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -104,6 +104,7 @@
 // readResponse reads the response that belongs to the request. It reports whether the connection may carry
 // another request.
 func (t *Transport) readResponse(c *conn, request *http.Request, r Request, sentAt time.Time) (*Response, bool, error) {
+	before := c.skipped
 	response, meta, err := t.readAnswerHead(c, request, r.ID)
 	if err != nil {
 		return nil, false, err
@@ -113,6 +114,7 @@
 	if err != nil {
 		return nil, false, err
 	}
+	complete.Skipped = c.skipped - before
 	return complete, c.isReusableAfter(response, meta.ID), nil
 }
 
@@ -135,6 +137,7 @@
 		if meta.ID == "" {
 			return nil, none, errUnidentified
 		}
+		c.skipped++
 		if err := skipBody(response); err != nil {
 			return nil, none, err
 		}
--- a/link/link.go
+++ b/link/link.go
@@ -110,6 +110,8 @@
 	Meta   lovageyard.ResponseMeta
 	// DialTime is how long a new connection took; 0 if one was reused.
 	DialTime time.Duration
+	// Skipped is the number of answers to earlier requests that came before this one.
+	Skipped int
 	// Through is the name of the instance through which the request was sent, or "".
 	Through string
 }
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -246,6 +246,7 @@
 	got, err := send(c, newTransport(c), request(b, "1", true))
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(got.Body), qt.Equals, "one")
+	c.Assert(got.Skipped, qt.Equals, 1)
 }
 
 func TestInterimResponsesAreSkipped(t *testing.T) {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -65,6 +65,8 @@
 	RequestsQuarantined  = Metric{"requests-held", Gauge, nil, "requests that are refused as servers end under them"}
 	ConnectionsOpened    = Metric{"connections-opened", Gauge, nil, "connections to servers opened since the start"}
 	PathLost             = Metric{"path-lost", Gauge, nil, "1 while no backend server can be reached from this instance, so that requests are sent through others"}
+	AnswersSkipped       = Metric{"answers-skipped", Counter, []string{"service"}, "answers of servers to earlier requests that came before the answer to an attempt"}
+	PromisesIgnored      = Metric{"promises-ignored", Counter, []string{"service"}, "answers of servers with a status that promises not run, which do not state it otherwise"}
 	Detours              = Metric{"detours", Counter, []string{"outcome"}, "attempts at servers through other instances: answered, failed, or unavailable if the instance could not make them"}
 	ConfigurationVersion = Metric{"configuration-version", Gauge, nil, "version of the configuration in force"}
 	ConfigurationAge     = Metric{"configuration-age", Gauge, nil, "milliseconds since the configuration came into force"}
@@ -97,7 +99,7 @@
 func All() []Metric {
 	return []Metric{
 		Answers, Refusals, RankRefusals, ShareRefusals, SlotWaits, Overloaded, RequestsAhead, SlowBodies, MemoryBudget, MemoryHeld, MemoryHeldLarge, MemoryWaiting, Latency, ExpectedWait, Sends, Placements, RegionShare, RegionShareChange, Retries, RetriesDenied, ColdSends, ShareElsewhere, SecondHomeShare, ServersSlow, InFlight,
-		ServersKnown, ServersSuspect, ServersLimited, ServersLeaving, ServersBackingOff, ServersCrashed, RequestsQuarantined, ConnectionsOpened, PathLost, Detours, ConfigurationVersion, ConfigurationAge, ConfirmationAge, ContactAge,
+		ServersKnown, ServersSuspect, ServersLimited, ServersLeaving, ServersBackingOff, ServersCrashed, RequestsQuarantined, ConnectionsOpened, PathLost, Detours, AnswersSkipped, PromisesIgnored, ConfigurationVersion, ConfigurationAge, ConfirmationAge, ContactAge,
 		LimitReports, AccountsNearLimit, InstancesLive, Utilisation, LookUps, RegionUtilisation,
 		ChangeAge, PlatformReads, PlatformFailures, HistoryLost, OutdatedReads, PlatformRestores, RowsSkipped, PlatformWrites, PeerExchanges, PeerFailures,
 		PeerRows, PeerRowsKnown, PeerBytes,
