soak, platform/fake: faulty servers send a second answer once, in the platform's words of platform/fake

Read again: a second answer that waited for the next request was itself repeated with that request's answer, as disturb got both texts; so second answers were more frequent than drawn. The faulty servers spelled the platform's headers themselves, beside platform/fake, which has them. And the test of the faults sent no body, so that a rejection before the body was never played by it.

fake.Answer holds an answer and its bytes; the faulty servers keep the second answer as a value. fake.Server reads the timeout and the target by the same functions. The test sends a body and expects that rejection.

--- a/soak/faulty.go
+++ b/soak/faulty.go
@@ -2,13 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -20,29 +18,29 @@
 // Faults that a faulty server injects into a share of its requests. The first group rejects them, the second runs them and
 // fails, and the third only disturbs the connection or the answer.
 const (
-	rejectMarked       = "rejected"
-	rejectWithoutID    = "rejected without an ID"
-	rejectTooMany      = "rejected with 429"
-	rejectBeforeBody   = "rejected before its body"
-	rejectFull         = "rejected, queue full"
-	rejectDeadline     = "rejected, deadline passed in the queue"
-	rejectMisdirected  = "misdirected"
-	rejectConnections  = "connection reset when accepted"
-	failUnmarked       = "ran, failed with a status that promises otherwise"
-	failServer         = "ran, failed with 500"
-	failReset          = "ran, connection reset"
-	failClose          = "ran, connection closed"
-	failTruncate       = "ran, answer cut"
-	failGarble         = "ran, bytes that are no answer"
-	failLate           = "ran, answered after the deadline"
-	disturbUnframed    = "answer without a length"
-	disturbExtra       = "second answer at once"
-	disturbExtraLate   = "second answer before the next one"
-	disturbExtraNoID   = "second answer without an ID before the next one"
-	disturbHeld        = "held by a partition"
-	disturbCut         = "reset by a partition"
-	strayAnswer        = "another request's second answer came first"
-	strayAnswerWithout = "another request's second answer without an ID came first"
+	rejectMarked      = "rejected"
+	rejectWithoutID   = "rejected without an ID"
+	rejectTooMany     = "rejected with 429"
+	rejectBeforeBody  = "rejected before its body"
+	rejectFull        = "rejected, queue full"
+	rejectDeadline    = "rejected, deadline passed in the queue"
+	rejectMisdirected = "misdirected"
+	rejectConnections = "connection reset when accepted"
+	failUnmarked      = "ran, failed with a status that promises otherwise"
+	failServer        = "ran, failed with 500"
+	failReset         = "ran, connection reset"
+	failClose         = "ran, connection closed"
+	failTruncate      = "ran, answer cut"
+	failGarble        = "ran, bytes that are no answer"
+	failLate          = "ran, answered after the deadline"
+	disturbUnframed   = "answer without a length"
+	disturbExtra      = "second answer at once"
+	disturbExtraLate  = "second answer before the next one"
+	disturbExtraNoID  = "second answer without an ID before the next one"
+	disturbHeld       = "held by a partition"
+	disturbCut        = "reset by a partition"
+	strayAnswer       = "another request's second answer came first"
+	strayAnswerNoID   = "another request's second answer without an ID came first"
 )
 
 // drawnFaults are those that a plan sets; the others follow from the state of a server.
@@ -208,6 +206,23 @@
 	lateFault string
 }
 
+// reply is what a server does after a request.
+type reply struct {
+	answer fake.Answer
+	// text is sent in place of the answer unless it is nil; nothing is sent if it is empty.
+	text []byte
+	// closes means that the connection ends.
+	closes bool
+}
+
+// bytes returns what is sent.
+func (r reply) bytes() []byte {
+	if r.text != nil {
+		return r.text
+	}
+	return r.answer.Bytes()
+}
+
 // serveOne serves the next request, and reports whether the connection stays open.
 func (x *faultyConn) serveOne() bool {
 	s := x.server
@@ -216,47 +231,54 @@
 		return false
 	}
 	s.thaw()
-	id := r.Header.Get("X-Request-Id")
+	id := fake.RequestID(r.Header)
 	if !x.passesPartition(id) {
 		return false
 	}
 	if r.ContentLength > 0 && s.draws(rejectBeforeBody) {
-		s.ledger.faulted(id, s.current().Name, rejectBeforeBody)
-		_, _ = x.Write(s.answer(http.StatusServiceUnavailable, id, "X-Not-Run: 1\r\nConnection: close\r\n", ""))
+		_, _ = x.Write(x.reject(id, http.StatusServiceUnavailable, rejectBeforeBody).bytes())
 		return false
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return false
 	}
-	answer, open := x.handle(r, id)
-	if len(answer) == 0 {
-		return open
-	}
-	if !x.passesPartition(id) {
+	done := x.handle(r, id)
+	if len(done.bytes()) == 0 || !x.passesPartition(id) {
 		return false
 	}
-	if x.late != nil {
-		s.ledger.faulted(id, s.current().Name, x.lateFault)
-		answer, x.late = append(bytes.Clone(x.late), answer...), nil
+	if !x.sendLate(id) {
+		return false
 	}
-	if _, err := x.Write(answer); err != nil {
+	if _, err := x.Write(done.bytes()); err != nil {
 		return false
 	}
-	return open && x.disturb(id, answer)
+	return !done.closes && x.disturb(id, done.answer)
 }
 
-// disturb sends second answers, or keeps them for the next request.
-func (x *faultyConn) disturb(id string, answer []byte) bool {
+// sendLate sends the second answer to the request before, if there is one.
+func (x *faultyConn) sendLate(id string) bool {
+	if x.late == nil {
+		return true
+	}
+	x.server.ledger.faulted(id, x.server.current().Name, x.lateFault)
+	_, err := x.Write(x.late)
+	x.late = nil
+	return err == nil
+}
+
+// disturb sends a second answer, or keeps it for the next request.
+func (x *faultyConn) disturb(id string, second fake.Answer) bool {
 	s := x.server
 	switch {
 	case s.draws(disturbExtra):
 		s.ledger.faulted(id, s.current().Name, disturbExtra)
-		_, err := x.Write(answer)
+		_, err := x.Write(second.Bytes())
 		return err == nil
 	case s.draws(disturbExtraLate):
-		x.late, x.lateFault = answer, strayAnswer
+		x.late, x.lateFault = second.Bytes(), strayAnswer
 	case s.draws(disturbExtraNoID):
-		x.late, x.lateFault = bytes.Replace(answer, []byte("X-Request-Id: "+id+"\r\n"), nil, 1), strayAnswerWithout
+		second.ID = ""
+		x.late, x.lateFault = second.Bytes(), strayAnswerNoID
 	}
 	return true
 }
@@ -283,28 +305,37 @@
 	return err == nil || err == io.EOF || asTimeout(err, &timeout)
 }
 
-// handle rejects or runs a request. It returns the bytes of the answer, and whether the connection stays open.
-func (x *faultyConn) handle(r *http.Request, id string) ([]byte, bool) {
+// reject returns the answer to a request that is not run.
+func (x *faultyConn) reject(id string, status int, fault string) reply {
+	s := x.server
+	s.ledger.faulted(id, s.current().Name, fault)
+	return reply{answer: fake.Answer{Status: status, ID: id, NotRun: true, Load: s.load()}}
+}
+
+// handle rejects or runs a request.
+func (x *faultyConn) handle(r *http.Request, id string) reply {
 	s := x.server
 	name := s.current().Name
-	reject := func(status int, fault, header string) ([]byte, bool) {
-		s.ledger.faulted(id, name, fault)
-		return s.answer(status, id, header, ""), true
-	}
 	switch {
-	case r.Header.Get("X-Target-Instance") != name:
-		return reject(http.StatusMisdirectedRequest, rejectMisdirected, "X-Instance-Id: "+name+"\r\n")
+	case !fake.IsFor(r.Header, name):
+		done := x.reject(id, http.StatusMisdirectedRequest, rejectMisdirected)
+		done.answer.NotRun, done.answer.Server = false, name
+		return done
 	case s.draws(rejectMarked):
-		return reject(http.StatusServiceUnavailable, rejectMarked, "X-Not-Run: 1\r\n")
+		return x.reject(id, http.StatusServiceUnavailable, rejectMarked)
 	case s.draws(rejectTooMany):
-		return reject(http.StatusTooManyRequests, rejectTooMany, "X-Not-Run: 1\r\n")
+		return x.reject(id, http.StatusTooManyRequests, rejectTooMany)
 	case s.draws(rejectWithoutID):
-		s.ledger.faulted(id, name, rejectWithoutID)
-		return s.answer(http.StatusServiceUnavailable, "", "X-Not-Run: 1\r\n", ""), true
+		done := x.reject(id, http.StatusServiceUnavailable, rejectWithoutID)
+		done.answer.ID = ""
+		return done
+	}
+	timeout, found := fake.Timeout(r.Header)
+	if !found {
+		timeout = callerTimeout
 	}
-	timeout := timeoutOf(r)
 	if fault := s.acquire(timeout); fault != "" {
-		return reject(http.StatusServiceUnavailable, fault, "X-Not-Run: 1\r\n")
+		return x.reject(id, http.StatusServiceUnavailable, fault)
 	}
 	s.ledger.ran(id, name)
 	work := time.Duration((0.7 + 0.6*rand.Float64()) * float64(s.work))
@@ -319,45 +350,42 @@
 }
 
 // finish returns the answer to a request that ran, or fails.
-func (x *faultyConn) finish(id, name string) ([]byte, bool) {
+func (x *faultyConn) finish(id, name string) reply {
 	s := x.server
+	done := reply{answer: fake.Answer{Status: http.StatusOK, ID: id, Sealed: true, Load: s.load(), Body: fake.Body(id)}}
 	for _, fault := range []string{failUnmarked, failServer, failReset, failClose, failTruncate, failGarble, disturbUnframed} {
 		if s.draws(fault) {
-			return x.fail(fault, id, name)
+			return x.fail(done, fault, name)
 		}
 	}
-	return s.answer(http.StatusOK, id, sealOf(id), fake.Body(id)), true
+	return done
 }
 
-func sealOf(id string) string {
-	return "X-Server-Seal: seal-" + id + "\r\n"
-}
-
-// fail ends a request that ran by a fault.
-func (x *faultyConn) fail(fault, id, name string) ([]byte, bool) {
-	s := x.server
+// fail changes the answer to a request that ran by a fault.
+func (x *faultyConn) fail(done reply, fault, name string) reply {
+	id := done.answer.ID
 	if fault == failUnmarked {
-		status := unmarkedStatuses[rand.IntN(len(unmarkedStatuses))]
-		s.ledger.faulted(id, name, fmt.Sprint(fault, ": ", status))
-		return s.answer(status, id, sealOf(id), ""), true
+		done.answer.Status, done.answer.Body = unmarkedStatuses[rand.IntN(len(unmarkedStatuses))], ""
+		fault = fmt.Sprint(fault, ": ", done.answer.Status)
 	}
-	s.ledger.faulted(id, name, fault)
-	whole := s.answer(http.StatusOK, id, sealOf(id), fake.Body(id))
+	x.server.ledger.faulted(id, name, fault)
 	switch fault {
 	case failServer:
-		return s.answer(http.StatusInternalServerError, id, sealOf(id), ""), true
+		done.answer.Status, done.answer.Body = http.StatusInternalServerError, ""
 	case failReset:
 		resetConn(x.Conn)
-		return nil, false
+		done.text, done.closes = []byte{}, true
 	case failClose:
-		return nil, false
+		done.text, done.closes = []byte{}, true
 	case failTruncate:
-		return whole[:len(whole)-len(fake.Body(id))/2], false
+		whole := done.answer.Bytes()
+		done.text, done.closes = whole[:len(whole)-len(done.answer.Body)/2], true
 	case failGarble:
-		return []byte(strings.Repeat("no answer ", 20) + "\r\n\r\n"), false
+		done.text, done.closes = []byte(strings.Repeat("no answer ", 20)+"\r\n\r\n"), true
+	case disturbUnframed:
+		done.answer.Unframed, done.closes = true, true
 	}
-	unframed := bytes.Replace(whole, []byte("Content-Length: "+strconv.Itoa(len(fake.Body(id)))+"\r\n"), nil, 1)
-	return unframed, false
+	return done
 }
 
 // acquire waits for a slot, and returns the fault if the request is rejected.
@@ -384,23 +412,9 @@
 	}
 }
 
-// timeoutOf returns how long the caller of a request waits.
-func timeoutOf(r *http.Request) time.Duration {
-	ms, err := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
-	if err != nil {
-		return callerTimeout
-	}
-	return time.Duration(ms) * time.Millisecond
-}
-
-// answer returns the bytes of an answer; one with an empty ID states none.
-func (s *faultyServer) answer(status int, id, header, body string) []byte {
+// load returns the server's load report.
+func (s *faultyServer) load() string {
 	s.mu.Lock()
-	load := fmt.Sprintf("%d,%d,%d", len(s.slots), s.queued, s.entry.Slots)
-	s.mu.Unlock()
-	if id != "" {
-		header = "X-Request-Id: " + id + "\r\n" + header
-	}
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sX-Server-Load: %s\r\nContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), header, load, len(body), body)
+	defer s.mu.Unlock()
+	return fmt.Sprintf("%d,%d,%d", len(s.slots), s.queued, s.entry.Slots)
 }
--- a/soak/refusal_callers.go
+++ b/soak/refusal_callers.go
@@ -24,9 +24,9 @@
 	goneShare       = 0.04
 	freshShare      = 0.3
 	// maxRepeats is the number of times that an impatient caller repeats a request at once.
-	maxRepeats      = 2
-	impatientShare  = 0.3
-	callersPerSpell = 100
+	maxRepeats     = 2
+	impatientShare = 0.3
+	ticksPerSecond = 100
 )
 
 // bodySizes are the sizes of the bodies of charges; the largest does not fit into one write.
@@ -53,9 +53,9 @@
 
 // send sends requests at the rate for a time, in small groups, and waits for the answers.
 func (c *refusalCallers) send(span time.Duration) {
-	ticker := time.NewTicker(time.Second / callersPerSpell)
+	ticker := time.NewTicker(time.Second / ticksPerSecond)
 	defer ticker.Stop()
-	perTick := float64(c.options.Rate) / callersPerSpell
+	perTick := float64(c.options.Rate) / ticksPerSecond
 	due := 0.0
 	for end := time.Now().Add(span); time.Now().Before(end); {
 		<-ticker.C
--- a/soak/refusals_test.go
+++ b/soak/refusals_test.go
@@ -5,12 +5,15 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"lovageyard.example/lovageyard"
+	"lovageyard.example/lovageyard/platform/fake"
 )
 
 // A run of charges at servers that reject, fail, answer twice or are cut off, beside faults of instances and the store.
@@ -79,13 +82,12 @@
 			c := qt.New(t)
 			s, l := startTestServer(c, fault)
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callerTimeout}
-			r, err := http.NewRequest(http.MethodPost, "http://"+s.current().Address+"/", http.NoBody)
+			r, err := http.NewRequest(http.MethodPost, "http://"+s.current().Address+"/", strings.NewReader("body"))
 			c.Assert(err, qt.IsNil)
-			r.Header.Set("X-Request-Id", "id")
-			r.Header.Set("X-Target-Instance", "f-0")
-			r.Header.Set("X-Deadline-Ms", "100")
+			fake.SetRequestHeaders(r.Header, "id", "", 100*time.Millisecond)
+			fake.SetServer(r.Header, "f-0")
 			response, err := client.Do(r)
-			rejected := err == nil && response.Header.Get("X-Not-Run") != ""
+			rejected := err == nil && fake.IsRejection(response.Header)
 			if err == nil {
 				response.Body.Close()
 			}
@@ -94,7 +96,7 @@
 			runs := l.of("id").runs
 			l.mu.Unlock()
 			c.Assert(runs > 0, qt.Equals, !rejected && !isReset)
-			c.Assert(rejected, qt.Equals, fault == rejectMarked || fault == rejectTooMany || fault == rejectWithoutID)
+			c.Assert(rejected, qt.Equals, slices.Contains([]string{rejectMarked, rejectTooMany, rejectWithoutID, rejectBeforeBody}, fault))
 		})
 	}
 }
