entry: the test of slow readers is refused neither by slots nor by assumed work

TestSlowReadersDoNotExceedTheBudget failed in 29 of 510 runs beside load: a small request got 503 (21 of 360 before, 8 of 150 with all lines). By the lines the memory budget refused none of them. Cause: the only server has four slots, and up to 15 large requests are sent before their length is known, which fill it; and the route's goal of 20 s is as long as its timeout, so that unmeasured work of 12 s makes waiting hopeless. Change: the server has twice as many slots as there are readers, so that more large responses compete for the budget, and the goal is 1 s. No check is changed: the budget is held, small requests are served, what ran is delivered, refusals state it.

--- a/entry/body_test.go
+++ b/entry/body_test.go
@@ -64,7 +64,13 @@
 
 // newInstance returns an instance with a memory budget and a minimum body rate.
 func newInstance(t *testing.T, budget, minBodyRate int64, backend http.HandlerFunc) *instance {
+	return newInstanceOfServer(t, defaultSlots, 20*time.Second, budget, minBodyRate, backend)
+}
+
+// newInstanceOfServer is newInstance for a server with a number of slots and a route with a goal.
+func newInstanceOfServer(t *testing.T, slots int, goal time.Duration, budget, minBodyRate int64, backend http.HandlerFunc) *instance {
 	h := newHarnessOf(t, 1)
+	h.slots, h.route.Goal = slots, goal
 	server := httptest.NewServer(backend)
 	h.c.Cleanup(server.Close)
 	h.address = server.Listener.Addr().String()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -126,6 +126,8 @@
 	// memory and minBodyRate are the settings of the same names.
 	memory      *footprint.Pool
 	minBodyRate int64
+	// slots is the number of slots of each server.
+	slots int
 	// metrics are the handler's.
 	metrics *meter.Set
 }
@@ -159,12 +161,15 @@
 	return source{h.view, h.age}
 }
 
+// defaultSlots is the number of slots of the servers.
+const defaultSlots = 4
+
 func newHarness(t testing.TB, steps ...step) *harness {
 	return newHarnessOf(t, 2, steps...)
 }
 
 func newHarnessOf(t testing.TB, servers int, steps ...step) *harness {
-	h := &harness{c: qt.New(t), servers: servers, address: "127.0.0.1:9", sender: &sender{steps: steps}, log: &strings.Builder{}}
+	h := &harness{c: qt.New(t), servers: servers, address: "127.0.0.1:9", sender: &sender{steps: steps}, log: &strings.Builder{}, slots: defaultSlots}
 	snapshot := catalog.NewState(platform.Decoder{}).Snapshot()
 	h.view = &catalog.View{Snapshot: snapshot, Ready: true}
 	h.setRoute(lovageyard.Route{
@@ -206,7 +211,7 @@
 		"Version":  "00000001",
 		"Routes":   routes,
 		"Tenants":  h.accounts,
-		"Services": map[string]any{"desk": map[string]any{"MaxConns": 9}},
+		"Services": map[string]any{"desk": map[string]any{"MaxConns": max(9, h.slots)}},
 		"Limits":   map[string]any{"MaxBodyBytes": 100},
 	})
 	h.c.Assert(err, qt.IsNil)
@@ -215,7 +220,7 @@
 	for n := range h.servers {
 		domain := fmt.Sprint("north-", n+1)
 		regions[domain] = "north"
-		server := fmt.Sprintf(`{"Addr":"%s","Info":{"Service":"desk","Version":"v1","Zone":"%s","Slots":4},"Status":{"State":"ready","Sequence":1,"ColdLeftMs":0}}`, h.address, domain)
+		server := fmt.Sprintf(`{"Addr":"%s","Info":{"Service":"desk","Version":"v1","Zone":"%s","Slots":%d},"Status":{"State":"ready","Sequence":1,"ColdLeftMs":0}}`, h.address, domain, h.slots)
 		rows = append(rows, lovageyard.Row{Table: lovageyard.TableServers, Key: fmt.Sprint("i-", n+1), Version: 1, Value: []byte(server)})
 	}
 	state := catalog.NewState(platform.Decoder{Regions: regions})
--- a/entry/reader_test.go
+++ b/entry/reader_test.go
@@ -54,7 +54,8 @@
 	const budget, length, readers = 4 << 20, 1 << 20, 40
 	var runs atomic.Int64
 	answer := largeOrSmall(make([]byte, length))
-	i := newInstance(t, budget, 0, func(w http.ResponseWriter, r *http.Request) {
+	// Neither the server's slots nor the work that is assumed until answers are measured may be what refuses a request.
+	i := newInstanceOfServer(t, 2*readers, time.Second, budget, 0, func(w http.ResponseWriter, r *http.Request) {
 		if !strings.HasPrefix(r.URL.Path, "/small/") {
 			runs.Add(1)
 		}
