--- a/soak/refusals_test.go
+++ b/soak/refusals_test.go
@@ -16,10 +16,15 @@
 	"lovageyard.example/lovageyard/platform/fake"
 )
 
-// A run of charges at servers that reject, fail, answer twice or are cut off, beside faults of instances and the store.
+// Runs of charges at servers that reject, fail, answer twice or are cut off, beside faults of instances and the store. In a
+// short run, second answers to refusals are frequent enough only by themselves.
 func TestRefusalSeedRunsWithoutViolations(t *testing.T) {
-	o := options{Refusals: true, Rate: 300, Slots: 8, Work: 60 * time.Millisecond, Deadline: 1500 * time.Millisecond, Span: 10 * time.Second}
-	testSeeds(t, o, []uint64{defaultSeed})
+	for _, fault := range []string{"", disturbExtraLate, disturbExtraNoID} {
+		t.Run(fault, func(t *testing.T) {
+			o := options{Refusals: true, Fault: fault, Rate: 300, Slots: 8, Work: 60 * time.Millisecond, Deadline: 1500 * time.Millisecond, Span: 10 * time.Second}
+			testSeeds(t, o, []uint64{defaultSeed})
+		})
+	}
 }
 
 // The ledger must notice a charge that runs before or after it was refused as not run, or twice, and nothing else.
