review: the stand-ins build without a network, and instances end with the program that started them

Change: build-2.sh uses no proxy of modules and no cgo; the main thread starts the instances, so that the signal at its end reaches them.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/rig-2"
 mkdir -p ../../bin
-GOWORK=off GOFLAGS=-buildvcs=false go build -o ../../bin/review-rig-2 .
+GOWORK=off GOFLAGS=-buildvcs=false GOPROXY=off CGO_ENABLED=0 go build -o ../../bin/review-rig-2 .
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"sync"
 	"time"
 )
@@ -42,6 +43,8 @@
 func trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
 func main() {
+	// The instances end with the thread that starts them.
+	runtime.LockOSThread()
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE FILE")
 		os.Exit(2)
